Serve a request through separate processes

The thin path comes first: a caller's request goes to an ingress daemon, over an authenticated link to the agent beside the worker, and back.

--- /dev/null
+++ b/dandelionarch/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: time and randomness are passed in."""
--- /dev/null
+++ b/dandelionarch/core/ingress.py
@@ -0,0 +1,138 @@
+"""Life of one request at its ingress: events in, commands out."""
+
+from dataclasses import dataclass
+
+from dandelionarch.core.outcome import Outcome, Reason
+
+MAX_ATTEMPTS = 3
+RETRY_AFTER_MIN_S = 1.0
+RETRY_AFTER_SPREAD_S = 2.0
+
+# The request cannot have reached an endpoint when these are the cause.
+PROVEN_NOT_RUN = frozenset(
+    {
+        Reason.NO_ENDPOINT,
+        Reason.LINK_DOWN,
+        Reason.QUEUE_FULL,
+        Reason.TOO_LATE,
+        Reason.DRAINING,
+        Reason.EJECTED,
+        Reason.UNKNOWN_ENDPOINT,
+        Reason.WORKER_REFUSED,
+        Reason.WORKER_UNREACHABLE,
+        Reason.STOPPING,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What a request asks for, as its route says."""
+
+    request_id: str
+    customer: str
+    service: str
+    route: str
+    kind: str
+    idempotent: bool
+    priority: int
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Command: send an attempt to an endpoint's agent."""
+
+    endpoint: object
+    decision: object
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Command: end the request with a refusal."""
+
+    outcome: Outcome
+    reason: Reason
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Command: pass the answer on; `whole` says that nothing was passed before."""
+
+    whole: bool
+
+
+class RequestLife:
+    """Decides what happens to one request.
+
+    Parameters
+    ----------
+    work : Work
+        What the request asks for.
+    choose : callable
+        `choose(service, tried)` returns a `Decision`.
+    deadline : float
+        Instant in seconds by which the request must have ended.
+    rng : random.Random
+        Source of the spread of `Retry-After`.
+    may_retry : callable
+        Returns True if the retry budget allows another attempt now.
+    """
+
+    def __init__(self, work, choose, deadline, rng, may_retry=lambda: True):
+        self.work = work
+        self.deadline = deadline
+        self.attempts = 0
+        self.tried = set()
+        self.finished = False
+        self._choose = choose
+        self._rng = rng
+        self._may_retry = may_retry
+        self._may_have_run = False
+
+    def start(self, now):
+        """Return the first command."""
+        return self._dispatch(Reason.NO_ENDPOINT, now)
+
+    def not_run(self, reason, now):
+        """Handle a proof that the current attempt was not run."""
+        return self._again(reason, now)
+
+    def failed(self, reason, now):
+        """Handle an attempt that ended after the endpoint may have seen it."""
+        self._may_have_run = True
+        if not self.work.idempotent:
+            return self._refuse(reason)
+        return self._again(reason, now)
+
+    def answered(self):
+        """Handle a whole answer."""
+        self.finished = True
+        return Deliver(whole=True)
+
+    def expired(self):
+        """Handle the end of the time budget."""
+        self._may_have_run = True
+        return self._refuse(Reason.DEADLINE)
+
+    def _again(self, reason, now):
+        if now >= self.deadline or self.attempts >= MAX_ATTEMPTS:
+            return self._refuse(reason)
+        if not self._may_retry():
+            return self._refuse(Reason.RETRY_BUDGET)
+        return self._dispatch(reason, now)
+
+    def _dispatch(self, reason, now):
+        decision = self._choose(self.work.service, frozenset(self.tried))
+        if decision.chosen is None:
+            return self._refuse(reason)
+        self.attempts += 1
+        endpoint = decision.chosen.endpoint
+        self.tried.add(endpoint.endpoint_id)
+        return Dispatch(endpoint, decision)
+
+    def _refuse(self, reason):
+        self.finished = True
+        outcome = Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
+        spread = self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
+        return Refuse(outcome, reason, RETRY_AFTER_MIN_S + spread)
--- /dev/null
+++ b/dandelionarch/core/messages/request.py
@@ -0,0 +1,146 @@
+"""Messages that carry one request from an ingress to an agent and back."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    """One HTTP header field."""
+
+    name: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Start of a request; `data` is the first part of its body.
+
+    `budget_ms` is the time that remains, counted from receipt.
+    """
+
+    attempt_id: int
+    request_id: str
+    endpoint_id: str
+    service: str
+    route: str
+    kind: str
+    idempotent: bool
+    priority: int
+    budget_ms: int
+    method: str
+    target: str
+    headers: tuple[Header, ...]
+    data: bytes
+    last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestChunk:
+    """A further part of a request's body."""
+
+    attempt_id: int
+    data: bytes
+    last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Load of an endpoint as its agent sees it, attached to every reply."""
+
+    endpoint_id: str
+    running: int
+    queued: int
+    slots: int
+    health: str
+    warmup: float
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Start of an endpoint's answer; `data` is the first part of its body."""
+
+    attempt_id: int
+    status: int
+    headers: tuple[Header, ...]
+    data: bytes
+    last: bool
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseChunk:
+    """A further part of an answer's body."""
+
+    attempt_id: int
+    data: bytes
+    last: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Credit:
+    """Permission to send `size` more bytes of body for an attempt."""
+
+    attempt_id: int
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Proof by the agent that an attempt was not run and will not be."""
+
+    attempt_id: int
+    reason: str
+    retry_after_ms: int
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """The attempt failed after the endpoint may have seen it."""
+
+    attempt_id: int
+    reason: str
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """The ingress has given the attempt up."""
+
+    attempt_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """The sender takes no new work and is about to stop."""
+
+    vm_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Liveness check of a connection."""
+
+    nonce: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """Reply to `Ping`."""
+
+    nonce: int
+
+
+MESSAGES = (
+    RequestHead,
+    RequestChunk,
+    ResponseHead,
+    ResponseChunk,
+    Credit,
+    Refusal,
+    Failure,
+    Cancel,
+    Leaving,
+    Ping,
+    Pong,
+)
--- /dev/null
+++ b/dandelionarch/core/outcome.py
@@ -0,0 +1,38 @@
+"""The three outcomes that a caller can see."""
+
+from enum import Enum
+
+
+class Outcome(Enum):
+    """What a caller is told of its request."""
+
+    ANSWER = "answer"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class Reason(Enum):
+    """Why a request was refused or failed."""
+
+    NO_ENDPOINT = "no_endpoint"
+    LINK_DOWN = "link_down"
+    LINK_LOST = "link_lost"
+    QUEUE_FULL = "queue_full"
+    TOO_LATE = "too_late"
+    DRAINING = "draining"
+    EJECTED = "ejected"
+    UNKNOWN_ENDPOINT = "unknown_endpoint"
+    WORKER_REFUSED = "worker_refused"
+    WORKER_UNREACHABLE = "worker_unreachable"
+    WORKER_FAILED = "worker_failed"
+    TRUNCATED = "truncated"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+    OVER_LIMIT = "over_limit"
+    SHED = "shed"
+    STOPPING = "stopping"
+    NOT_READY = "not_ready"
+    RETRY_BUDGET = "retry_budget"
+    ORDER_IN_PROGRESS = "order_in_progress"
+    ORDER_LOST = "order_lost"
+    PLATFORM_UNAVAILABLE = "platform_unavailable"
--- /dev/null
+++ b/dandelionarch/core/timer.py
@@ -0,0 +1,73 @@
+"""Timer service: parts subscribe to it instead of reading a clock."""
+
+import heapq
+import itertools
+
+
+class Subscription:
+    """One pending or repeating callback; `cancel` ends it."""
+
+    __slots__ = ("callback", "cancelled", "period_s")
+
+    def __init__(self, callback, period_s=None):
+        self.callback = callback
+        self.period_s = period_s
+        self.cancelled = False
+
+    def cancel(self):
+        """Prevent any further call."""
+        self.cancelled = True
+
+
+class TimerService:
+    """Calls subscribers when the time that is passed in reaches their instant.
+
+    The daemon drives it from its event loop with a monotonic clock; measurements
+    and tests drive it with a virtual one.
+
+    Parameters
+    ----------
+    now : float
+        Start time in seconds on any monotonic scale.
+    """
+
+    def __init__(self, now=0.0):
+        self._now = now
+        self._heap = []
+        self._order = itertools.count()
+
+    def now(self):
+        """Return the current time in seconds."""
+        return self._now
+
+    def subscribe(self, delay_s, callback):
+        """Call `callback()` once after `delay_s` seconds."""
+        sub = Subscription(callback)
+        self._push(self._now + delay_s, sub)
+        return sub
+
+    def subscribe_every(self, period_s, callback, first_delay_s=None):
+        """Call `callback()` every `period_s` seconds."""
+        sub = Subscription(callback, period_s)
+        delay_s = period_s if first_delay_s is None else first_delay_s
+        self._push(self._now + delay_s, sub)
+        return sub
+
+    def next_due(self):
+        """Return the instant of the next call in seconds, or None."""
+        while self._heap and self._heap[0][2].cancelled:
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def advance(self, to):
+        """Move the time to `to` and make all calls that are due, in order."""
+        while (due := self.next_due()) is not None and due <= to:
+            _, _, sub = heapq.heappop(self._heap)
+            self._now = max(self._now, due)
+            if sub.period_s is not None:
+                self._push(self._now + sub.period_s, sub)
+            sub.callback()
+        self._now = max(self._now, to)
+
+    def _push(self, due, sub):
+        heapq.heappush(self._heap, (due, next(self._order), sub))
--- /dev/null
+++ b/dandelionarch/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/dandelionarch/daemon/admin.py
@@ -0,0 +1,75 @@
+"""Admin port: announcements of endpoints, and what operators ask for."""
+
+import logging
+import uuid
+
+import pydantic
+from sanic import Sanic
+from sanic.response import json
+
+from dandelionarch.core.world import Endpoint, EndpointState
+from dandelionarch.ids import EndpointId, Incarnation, ServiceName
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+
+class Announcement(pydantic.BaseModel):
+    """What an endpoint tells its daemon every two seconds."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    endpoint: str = pydantic.Field(pattern=r"^[A-Za-z0-9_.-]{1,63}$")
+    service: str = pydantic.Field(pattern=r"^[A-Za-z0-9_.-]{1,63}$")
+    host: str = "127.0.0.1"
+    port: int = pydantic.Field(ge=1, le=65_535)
+    slots: int = pydantic.Field(ge=1, le=10_000)
+    connections: int = pydantic.Field(default=330, ge=1, le=1_000_000)
+    incarnation: int = pydantic.Field(ge=0)
+    state: EndpointState = EndpointState.READY
+    load: float = pydantic.Field(default=0.0, ge=0)
+
+
+class Admin:
+    """The HTTP application on the admin port.
+
+    Parameters
+    ----------
+    daemon : Daemon
+        The daemon whose state is shown.
+    """
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+        self.app = Sanic(f"admin-{uuid.uuid4().hex[:8]}", configure_logging=False)
+        self.app.config.TOUCHUP = False
+        self.app.add_route(self._announce, "/announce", methods=["POST"])
+        self.app.add_route(self._status, "/status")
+        self.app.add_route(self._explain, "/explain/<request_id:str>")
+
+    async def _announce(self, request):
+        try:
+            said = Announcement.model_validate_json(request.body)
+        except pydantic.ValidationError as exc:
+            event(log, "announcement_refused", logging.WARNING, detail=str(exc))
+            return json({"error": exc.errors(include_url=False)}, status=400)
+        endpoint = Endpoint(
+            EndpointId(said.endpoint),
+            self._daemon.vm_id,
+            ServiceName(said.service),
+            said.host,
+            said.port,
+            said.slots,
+            said.connections,
+            Incarnation(said.incarnation),
+            said.state,
+        )
+        self._daemon.announced(endpoint)
+        return json({"vm": self._daemon.vm_id})
+
+    async def _status(self, request):
+        return json(self._daemon.status())
+
+    async def _explain(self, request, request_id):
+        decisions = self._daemon.ingress.decisions.get(request_id, [])
+        return json([{"event": name, **fields} for name, fields in decisions])
--- /dev/null
+++ b/dandelionarch/daemon/app.py
@@ -0,0 +1,198 @@
+"""The daemon: builds its parts, starts and stops them."""
+
+import asyncio
+import logging
+import time
+
+from dandelionarch.core.config import CONFIG_STREAM, ConfigState, Publication, Verdict
+from dandelionarch.core.directory import Directory
+from dandelionarch.core.lists import CustomerKeys, RouteTable
+from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.world import Vm
+from dandelionarch.daemon.admin import Admin
+from dandelionarch.daemon.agent import Agent
+from dandelionarch.daemon.gossip import DirectoryExchange
+from dandelionarch.daemon.ingress import Ingress
+from dandelionarch.daemon.ingress_http import IngressHttp
+from dandelionarch.daemon.link import PeerNetwork
+from dandelionarch.daemon.logclient import LogClient
+from dandelionarch.errors import PlatformError
+from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+LOG_WAIT_MS = 1000
+LOG_RETRY_S = 0.5
+STOP_POLL_S = 0.02
+
+
+class ActiveConfig:
+    """The accepted configuration with its lookup tables."""
+
+    def __init__(self):
+        self.lists = None
+        self.routes = None
+        self.keys = None
+
+    def use(self, lists):
+        """Put new lists in force."""
+        self.routes = RouteTable(lists)
+        self.keys = CustomerKeys(lists)
+        self.lists = lists
+
+
+class ConfigFollower:
+    """Task that follows the configuration stream."""
+
+    def __init__(self, client, active):
+        self.state = ConfigState()
+        self._client = client
+        self._active = active
+        self._next = 0
+
+    async def run(self):
+        """Follow the stream until cancelled."""
+        while True:
+            try:
+                records = await self._client.read(
+                    CONFIG_STREAM, self._next, wait_ms=LOG_WAIT_MS
+                )
+            except PlatformError as exc:
+                event(log, "log_unavailable", logging.WARNING, detail=str(exc))
+                await asyncio.sleep(LOG_RETRY_S)
+                continue
+            for record in records:
+                self._apply(record)
+
+    def _apply(self, record):
+        self._next = record.offset + 1
+        pub = Publication.from_bytes(record.data)
+        verdict = self.state.apply(pub)
+        event(
+            log,
+            "publication",
+            record=pub.record_id,
+            verdict=verdict.value,
+            revision=self.state.revision,
+        )
+        if verdict is Verdict.ACCEPTED:
+            self._active.use(self.state.lists)
+
+
+class Daemon:
+    """All parts of one daemon in one process and loop."""
+
+    def __init__(self, settings):
+        cfg = settings.daemon
+        self.settings = settings
+        self.vm_id = VmId(cfg.vm)
+        self.vm = Vm(
+            self.vm_id,
+            DataCentreId(cfg.data_centre),
+            RegionId(cfg.region),
+            cfg.host,
+            cfg.ingress_port,
+            cfg.peer_port,
+            cfg.gossip_port,
+            cfg.admin_port,
+            Incarnation(time.time_ns() // 1_000_000),
+        )
+        self.directory = Directory()
+        self.directory.put_vm(self.vm)
+        self.active = ActiveConfig()
+        self.client = LogClient(cfg.log_url)
+        self.config = ConfigFollower(self.client, self.active)
+        self.network = PeerNetwork(self.vm_id, cfg.shared_key.encode(), self._address)
+        self.agent = Agent(self.network, self.directory, self.vm_id)
+        self.ingress = Ingress(self.network, self.directory, self.agent)
+        self.http = IngressHttp(self.ingress, self.active, settings.limits)
+        self.admin = Admin(self)
+        self.exchange = DirectoryExchange(
+            self.network, self.directory, self.vm, cfg.seed_addresses
+        )
+        self._servers = []
+        self._tasks = []
+
+    async def run(self, stop):
+        """Serve until the `stop` event is set, then shut down gracefully."""
+        await self._start()
+        event(log, "daemon_started", vm=self.vm_id, incarnation=self.vm.incarnation)
+        await stop.wait()
+        await self._drain()
+        await self._stop()
+        event(log, "daemon_stopped", vm=self.vm_id)
+
+    async def _start(self):
+        cfg = self.settings.daemon
+        await self.client.start()
+        await self.agent.start()
+        await self.network.start(cfg.host, cfg.peer_port)
+        for app, port in (
+            (self.admin.app, cfg.admin_port),
+            (self.http.app, cfg.ingress_port),
+        ):
+            server = await app.create_server(
+                cfg.host, port, return_asyncio_server=True, access_log=False
+            )
+            await server.startup()
+            await server.start_serving()
+            self._servers.append(server)
+        for coro in (self.config.run(), self.exchange.run()):
+            self._tasks.append(asyncio.create_task(coro))
+
+    async def _drain(self):
+        """Refuse new work, tell the peers, and finish what is in flight."""
+        event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
+        self.http.stopping = True
+        self.agent.stopping = True
+        for link in self.network.all_links():
+            link.send(msgs.Leaving(self.vm_id))
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + self.settings.limits.stop_timeout_s
+        while (self.agent.in_flight or self.http.in_flight) and loop.time() < limit:
+            await asyncio.sleep(STOP_POLL_S)
+
+    async def _stop(self):
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers:
+            server.close()
+        await self.network.stop()
+        await self.agent.stop()
+        await self.client.stop()
+
+    def announced(self, endpoint):
+        """Take note of an endpoint beside this daemon."""
+        if self.directory.put_endpoint(endpoint):
+            event(
+                log,
+                "endpoint_announced",
+                endpoint=endpoint.endpoint_id,
+                service=endpoint.service,
+                state=endpoint.state.value,
+            )
+
+    def status(self):
+        """Return what `dandelionctl status` shows."""
+        return {
+            "vm": self.vm_id,
+            "data_centre": self.vm.data_centre,
+            "incarnation": self.vm.incarnation,
+            "revision": self.config.state.revision,
+            "vms": {vm.vm_id: vm.state.value for vm in self.directory.vms.values()},
+            "endpoints": {
+                e.endpoint_id: {
+                    "service": e.service,
+                    "vm": e.vm_id,
+                    "state": e.state.value,
+                    "health": e.health.value,
+                }
+                for e in self.directory.endpoints.values()
+            },
+        }
+
+    def _address(self, vm_id):
+        vm = self.directory.vms.get(vm_id)
+        return None if vm is None else (vm.host, vm.peer_port)
--- /dev/null
+++ b/dandelionarch/daemon/ingress.py
@@ -0,0 +1,279 @@
+"""Ingress: drives the life of each request and owns its attempts."""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+import random
+
+from dandelionarch.core.ingress import Deliver, Dispatch, RequestLife
+from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.outcome import Reason
+from dandelionarch.core.selection import Candidate, TwoChoices, select
+from dandelionarch.core.world import Health
+from dandelionarch.daemon.agent import CHUNK_BYTES, WINDOW_BYTES
+from dandelionarch.errors import LinkError
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+HOLD_BYTES = 256 << 10
+DECISION_RING_SIZE = 10_000
+
+
+class LinkLost:
+    """Put into an attempt's mailbox when its link ended."""
+
+
+class AttemptStream:
+    """An attempt as the ingress sees it: its link and its mailbox."""
+
+    def __init__(self, attempt_id, endpoint_id, link):
+        self.attempt_id = attempt_id
+        self.endpoint_id = endpoint_id
+        self.link = link
+        self.mailbox = asyncio.Queue()
+        self.window = WINDOW_BYTES
+        self.window_open = asyncio.Event()
+
+    async def send_body(self, body):
+        """Send the request's body in chunks within the window."""
+        for start in range(0, len(body), CHUNK_BYTES):
+            data = body[start : start + CHUNK_BYTES]
+            while self.window < len(data):
+                self.window_open.clear()
+                await self.window_open.wait()
+            self.window -= len(data)
+            last = start + CHUNK_BYTES >= len(body)
+            self.link.send(msgs.RequestChunk(self.attempt_id, data, last))
+
+
+class Answer:
+    """An endpoint's answer whose start has arrived.
+
+    `chunks` yields the rest of the body; it raises `ConnectionError` if the answer
+    breaks off, so that nobody takes it as whole.
+    """
+
+    def __init__(self, head, stream, body, last):
+        self.status = head.status
+        self.headers = head.headers
+        self.body = body
+        self.whole = last
+        self._stream = stream
+
+    async def chunks(self):
+        """Yield the rest of the body."""
+        last = self.whole
+        while not last:
+            msg = await self._stream.mailbox.get()
+            if not isinstance(msg, msgs.ResponseChunk):
+                raise ConnectionError("answer broke off")
+            last = msg.last
+            with contextlib.suppress(LinkError):
+                credit = msgs.Credit(self._stream.attempt_id, len(msg.data))
+                self._stream.link.send(credit)
+            yield msg.data
+
+
+class Ingress:
+    """Routes requests to agents and matches what comes back by attempt id."""
+
+    def __init__(self, network, directory, agent, rng=None):
+        self._network = network
+        self._directory = directory
+        self._rng = rng or random.Random()
+        self._policy = TwoChoices()
+        self._attempt_ids = itertools.count(1)
+        self._streams = {}
+        self._in_flight = {}
+        self._loads = {}
+        self.decisions = {}
+        for cls in (msgs.ResponseHead, msgs.ResponseChunk, msgs.Refusal, msgs.Failure):
+            network.subscribe(cls, self._on_reply)
+        network.subscribe(
+            msgs.Credit,
+            lambda link, msg: self._on_credit(link, msg, agent),
+        )
+        network.on_lost(self._on_link_lost)
+
+    async def run(self, work, req, deadline):
+        """Run one request to its end.
+
+        Parameters
+        ----------
+        work : Work
+            What the request asks for.
+        req : CallerRequest
+            Method, target, headers and body.
+        deadline : float
+            Loop time in seconds.
+
+        Returns
+        -------
+        Answer or Refuse
+        """
+        life = RequestLife(work, self._choose, deadline, self._rng)
+        loop = asyncio.get_running_loop()
+        command = life.start(loop.time())
+        while isinstance(command, Dispatch):
+            command = await self._attempt(life, work, req, command)
+        if isinstance(command, Deliver):
+            return life.answer
+        return command
+
+    def _choose(self, service, tried):
+        candidates = []
+        for endpoint in self._directory.endpoints_of(service):
+            vm = self._directory.vms.get(endpoint.vm_id)
+            cand = Candidate(endpoint, vm)
+            cand.in_flight = self._in_flight.get(endpoint.endpoint_id, 0)
+            load = self._loads.get(endpoint.endpoint_id)
+            if load is not None:
+                cand.warmup = load.warmup
+                cand.health = Health(load.health)
+            candidates.append(cand)
+        return select(candidates, self._policy, self._rng, tried)
+
+    async def _attempt(self, life, work, req, command):
+        loop = asyncio.get_running_loop()
+        endpoint = command.endpoint
+        self._log_decision(work, command)
+        try:
+            link = await self._network.link(endpoint.vm_id)
+        except LinkError:
+            return life.not_run(Reason.LINK_DOWN, loop.time())
+        stream = AttemptStream(next(self._attempt_ids), endpoint.endpoint_id, link)
+        self._streams[stream.attempt_id] = stream
+        self._count(endpoint.endpoint_id, 1)
+        ended = False
+        try:
+            async with asyncio.timeout_at(life.deadline):
+                self._send_request(stream, work, req, life.deadline - loop.time())
+                sender = None
+                if len(req.body) > CHUNK_BYTES:
+                    sender = self._network.spawn(self._send_body(stream, req.body))
+                command, ended = await self._await_answer(life, stream)
+                if sender is not None:
+                    sender.cancel()
+            return command
+        except TimeoutError:
+            return life.expired()
+        except LinkError:
+            return life.failed(Reason.LINK_LOST, loop.time())
+        finally:
+            if not isinstance(command, Deliver) or life.answer.whole:
+                self.close(stream, cancel=not ended)
+
+    async def _send_body(self, stream, body):
+        with contextlib.suppress(LinkError):
+            await stream.send_body(body)
+
+    def _send_request(self, stream, work, req, budget_s):
+        inline = len(req.body) <= CHUNK_BYTES
+        stream.link.send(
+            msgs.RequestHead(
+                stream.attempt_id,
+                work.request_id,
+                stream.endpoint_id,
+                work.service,
+                work.route,
+                work.kind,
+                work.idempotent,
+                work.priority,
+                max(1, int(budget_s * 1000)),
+                req.method,
+                req.target,
+                req.headers,
+                req.body if inline else b"",
+                inline,
+            )
+        )
+
+    async def _await_answer(self, life, stream):
+        """Return (command, True if the agent has ended the attempt)."""
+        loop = asyncio.get_running_loop()
+        msg = await stream.mailbox.get()
+        if isinstance(msg, msgs.Refusal):
+            return life.not_run(Reason(msg.reason), loop.time()), True
+        if isinstance(msg, msgs.Failure):
+            return life.failed(Reason(msg.reason), loop.time()), True
+        if isinstance(msg, LinkLost):
+            return life.failed(Reason.LINK_LOST, loop.time()), True
+        head, body, last = msg, [msg.data], msg.last
+        held = len(msg.data)
+        stream.link.send(msgs.Credit(stream.attempt_id, held))
+        while not last and held < HOLD_BYTES:
+            msg = await stream.mailbox.get()
+            if not isinstance(msg, msgs.ResponseChunk):
+                return life.failed(Reason.TRUNCATED, loop.time()), True
+            body.append(msg.data)
+            held += len(msg.data)
+            last = msg.last
+            stream.link.send(msgs.Credit(stream.attempt_id, len(msg.data)))
+        life.answer = Answer(head, stream, b"".join(body), last)
+        return life.answered(), last
+
+    def close(self, stream, cancel):
+        """Forget an attempt; what still arrives for it is dropped."""
+        if self._streams.pop(stream.attempt_id, None) is None:
+            return
+        self._count(stream.endpoint_id, -1)
+        if cancel:
+            with contextlib.suppress(LinkError):
+                stream.link.send(msgs.Cancel(stream.attempt_id))
+
+    def finish(self, answer):
+        """End the attempt behind an answer that was streamed."""
+        self.close(answer._stream, cancel=True)
+
+    def _count(self, endpoint_id, by):
+        left = self._in_flight.get(endpoint_id, 0) + by
+        if left:
+            self._in_flight[endpoint_id] = left
+        else:
+            self._in_flight.pop(endpoint_id, None)
+
+    def _on_reply(self, link, msg):
+        stream = self._streams.get(msg.attempt_id)
+        if stream is None or stream.link is not link:
+            event(log, "late_reply", attempt=msg.attempt_id, type=type(msg).__name__)
+            return
+        load = getattr(msg, "load", None)
+        if load is not None and load.endpoint_id:
+            self._loads[load.endpoint_id] = load
+        stream.mailbox.put_nowait(msg)
+
+    def _on_credit(self, link, msg, agent):
+        stream = self._streams.get(msg.attempt_id)
+        if stream is not None and stream.link is link:
+            stream.window += msg.size
+            stream.window_open.set()
+        agent.on_credit(link, msg)
+
+    def _on_link_lost(self, link):
+        for stream in self._streams.values():
+            if stream.link is link:
+                stream.mailbox.put_nowait(LinkLost())
+
+    def _log_decision(self, work, command):
+        decision = command.decision
+        drops = ";".join(
+            f"{d.endpoint_id}:{d.stage}:{d.reason}" for d in decision.drops
+        )
+        fields = {
+            "request": work.request_id,
+            "service": work.service,
+            "route": work.route,
+            "chosen": command.endpoint.endpoint_id,
+            "candidates": ",".join(decision.candidates),
+            "drops": drops or "-",
+        }
+        event(log, "routing", **fields)
+        self.remember(work.request_id, "routing", fields)
+
+    def remember(self, request_id, name, fields):
+        """Keep an event of a request for `explain`."""
+        self.decisions.setdefault(request_id, []).append((name, fields))
+        while len(self.decisions) > DECISION_RING_SIZE:
+            self.decisions.pop(next(iter(self.decisions)))
--- /dev/null
+++ b/dandelionarch/daemon/logclient.py
@@ -0,0 +1,98 @@
+"""Client of the platform's log service."""
+
+import base64
+from dataclasses import dataclass
+
+import aiohttp
+
+from dandelionarch.errors import (
+    OffsetTruncatedError,
+    PlatformError,
+    PlatformUnavailableError,
+    RecordTooLargeError,
+)
+from dandelionarch.ids import Offset
+
+MAX_RECORD_BYTES = 256 << 10
+APPEND_TIMEOUT_S = 5.0
+READ_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class LogRecord:
+    """A record at its place in a stream; `time_s` is the log service's clock."""
+
+    offset: Offset
+    time_s: float
+    data: bytes
+
+
+class LogClient:
+    """Appends to and reads from the streams of one log service."""
+
+    def __init__(self, url):
+        self._url = url.rstrip("/")
+        self._session = None
+
+    async def start(self):
+        """Open the connection pool."""
+        self._session = aiohttp.ClientSession()
+
+    async def stop(self):
+        """Close the connection pool."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def append(self, stream, data):
+        """Append a record and return its offset.
+
+        Raises
+        ------
+        RecordTooLargeError
+            If the record is larger than `MAX_RECORD_BYTES`; nothing was appended.
+        PlatformUnavailableError
+            If no reply came; the append may or may not have taken effect.
+        """
+        if len(data) > MAX_RECORD_BYTES:
+            raise RecordTooLargeError(f"record of {len(data)} bytes")
+        body = await self._call(
+            "POST", stream, APPEND_TIMEOUT_S, data=data, params=None
+        )
+        return Offset(body["offset"])
+
+    async def read(self, stream, start, limit=1000, wait_ms=0):
+        """Return up to `limit` records from offset `start` on.
+
+        Raises
+        ------
+        OffsetTruncatedError
+            If the log no longer holds `start`.
+        PlatformUnavailableError
+            If no reply came.
+        """
+        params = {"from": start, "limit": limit, "wait_ms": wait_ms}
+        timeout_s = READ_TIMEOUT_S + wait_ms / 1000
+        body = await self._call("GET", stream, timeout_s, params=params, data=None)
+        return [
+            LogRecord(Offset(r["offset"]), r["time"], base64.b64decode(r["data"]))
+            for r in body["records"]
+        ]
+
+    async def _call(self, method, stream, timeout_s, **kwargs):
+        url = f"{self._url}/streams/{stream}/records"
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._session.request(
+                method, url, timeout=timeout, **kwargs
+            ) as resp:
+                if resp.status == 410:
+                    body = await resp.json()
+                    raise OffsetTruncatedError(body["first_offset"])
+                if resp.status >= 500:
+                    raise PlatformUnavailableError(f"log service: {resp.status}")
+                if resp.status != 200:
+                    raise PlatformError(f"log service: {resp.status}")
+                return await resp.json()
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            detail = str(exc) or type(exc).__name__
+            raise PlatformUnavailableError(f"log service: {detail}") from exc
--- /dev/null
+++ b/dandelionarch/daemon/main.py
@@ -0,0 +1,43 @@
+"""Entry point of `dandelion-daemon`."""
+
+import argparse
+import asyncio
+import signal
+import sys
+
+import uvloop
+
+from dandelionarch.daemon.app import Daemon
+from dandelionarch.daemon.settings import read_settings
+from dandelionarch.errors import DandelionError
+from dandelionarch.logs import setup_logs
+
+
+async def serve(settings):
+    """Run a daemon until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, stop.set)
+    await Daemon(settings).run(stop)
+
+
+def main(argv=None):
+    """Read the settings and serve; return the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="dandelion-daemon", description="Proxy daemon of one endpoint VM."
+    )
+    parser.add_argument("settings", help="settings file in INI format")
+    args = parser.parse_args(argv)
+    try:
+        settings = read_settings(args.settings)
+    except DandelionError as exc:
+        print(f"dandelion-daemon: {exc}", file=sys.stderr)
+        return exc.exit_code
+    setup_logs(settings.logs.level, settings.logs.style)
+    uvloop.run(serve(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dandelionarch/daemon/settings.py
@@ -0,0 +1,110 @@
+"""Settings of the daemon, read from an INI file and checked."""
+
+import configparser
+import os
+from typing import Literal
+
+import pydantic
+
+from dandelionarch.core.lists import parse_section
+from dandelionarch.errors import SettingsError
+
+Port = pydantic.Field(ge=1, le=65_535)
+
+
+class _Section(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class DaemonSection(_Section):
+    """`[daemon]`: who and where this daemon is."""
+
+    vm: str = pydantic.Field(pattern=r"^[a-z0-9-]{1,63}$")
+    data_centre: str = pydantic.Field(pattern=r"^[a-z0-9-]{1,63}$")
+    region: str = pydantic.Field(default="default", pattern=r"^[a-z0-9-]{1,63}$")
+    host: str = "127.0.0.1"
+    ingress_port: int = Port
+    peer_port: int = Port
+    gossip_port: int = Port
+    admin_port: int = Port
+    seeds: str = ""
+    shared_key: str = pydantic.Field(min_length=16, max_length=256)
+    log_url: str = pydantic.Field(pattern=r"^https?://")
+
+    @property
+    def seed_addresses(self):
+        """Return the peer addresses (host, port) of the seeds."""
+        pairs = (seed.strip().rpartition(":") for seed in self.seeds.split(","))
+        return [(host, int(port)) for host, _, port in pairs if host]
+
+
+class LimitsSection(_Section):
+    """`[limits]`: bounds on what one request or one daemon may take."""
+
+    max_request_body_bytes: int = pydantic.Field(default=8 << 20, ge=1024, le=1 << 30)
+    max_response_body_bytes: int = pydantic.Field(default=64 << 20, ge=1024, le=1 << 32)
+    max_in_flight: int = pydantic.Field(default=2000, ge=1, le=100_000)
+    stop_timeout_s: float = pydantic.Field(default=30.0, ge=0.1, le=3600)
+
+
+class StatsdSection(_Section):
+    """`[statsd]`: where metrics go; none are sent without a host."""
+
+    host: str = ""
+    port: int = pydantic.Field(default=8125, ge=1, le=65_535)
+    prefix: str = "dandelion"
+
+
+class LogsSection(_Section):
+    """`[logs]`: level and style of log lines."""
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    style: Literal["kv", "json"] = "kv"
+
+
+class Settings(pydantic.BaseModel):
+    """All settings of a daemon."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    daemon: DaemonSection
+    limits: LimitsSection = LimitsSection()
+    statsd: StatsdSection = StatsdSection()
+    logs: LogsSection = LogsSection()
+
+
+SECTIONS = {
+    "daemon": DaemonSection,
+    "limits": LimitsSection,
+    "statsd": StatsdSection,
+    "logs": LogsSection,
+}
+
+
+def read_settings(path):
+    """Read and check a settings file.
+
+    Raises
+    ------
+    SettingsError
+        With file, section, option and accepted range.
+    """
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    file = os.path.basename(path)
+    try:
+        with open(path, encoding="utf-8") as stream:
+            parser.read_file(stream, source=file)
+    except (OSError, UnicodeDecodeError, configparser.Error) as exc:
+        raise SettingsError(file, "-", "-", str(exc).replace("\n", " ")) from exc
+    parts = {}
+    for title in parser.sections():
+        if title not in SECTIONS:
+            known = ", ".join(SECTIONS)
+            raise SettingsError(file, title, "-", f"unknown section; known: {known}")
+        options = dict(parser[title])
+        parts[title] = parse_section(
+            file, title, SECTIONS[title], options, SettingsError
+        )
+    if "daemon" not in parts:
+        raise SettingsError(file, "daemon", "-", "section is missing")
+    return Settings(**parts)
--- /dev/null
+++ b/dandelionarch/errors.py
@@ -0,0 +1,112 @@
+"""Exceptions of the package; every failure has a type of its own."""
+
+
+class DandelionError(Exception):
+    """Root of all errors that are shown to a user."""
+
+    exit_code = 1
+
+
+class SettingsError(DandelionError):
+    """A settings file has an option that can't be used.
+
+    Parameters
+    ----------
+    file, section, option : str
+        Where the value stands.
+    problem : str
+        What is wrong with it, with the accepted range.
+    """
+
+    exit_code = 2
+
+    def __init__(self, file, section, option, problem):
+        self.file = file
+        self.section = section
+        self.option = option
+        self.problem = problem
+        super().__init__(f"{file}: [{section}] {option}: {problem}")
+
+
+class ListError(SettingsError):
+    """One of the two published lists has an invalid entry."""
+
+
+class WireError(DandelionError):
+    """A frame or message from another daemon can't be accepted."""
+
+
+class FrameTooLargeError(WireError):
+    """A frame announces more bytes than the limit."""
+
+
+class FrameTruncatedError(WireError):
+    """The connection ended inside a frame."""
+
+
+class AuthenticationError(WireError):
+    """A frame's authentication code does not match the shared key."""
+
+
+class VersionMismatchError(WireError):
+    """The peer speaks another version of the protocol."""
+
+
+class MessageDecodeError(WireError):
+    """A frame's payload is not a valid message."""
+
+
+class LinkError(DandelionError):
+    """A link to another daemon can't carry a message."""
+
+
+class LinkDownError(LinkError):
+    """The link is not connected or was lost."""
+
+
+class AskTimeoutError(LinkError):
+    """A peer did not reply in time."""
+
+
+class PlatformError(DandelionError):
+    """The platform's log service failed."""
+
+    exit_code = 4
+
+
+class PlatformUnavailableError(PlatformError):
+    """The log service did not answer; an append may or may not have taken effect."""
+
+
+class RecordTooLargeError(PlatformError):
+    """A record is larger than the log service accepts."""
+
+
+class OffsetTruncatedError(PlatformError):
+    """The requested offset is older than the log's retention.
+
+    Parameters
+    ----------
+    first_offset : int
+        The oldest offset that the log still holds.
+    """
+
+    def __init__(self, first_offset):
+        self.first_offset = first_offset
+        super().__init__(f"offset truncated; first retained offset is {first_offset}")
+
+
+class UnknownCustomerError(DandelionError):
+    """The bearer key belongs to no customer."""
+
+
+class UnknownRouteError(DandelionError):
+    """No route matches the request's method and path."""
+
+
+class BodyTooLargeError(DandelionError):
+    """A body exceeds the size limit."""
+
+
+class NotReadyError(DandelionError):
+    """The daemon has no accepted configuration yet."""
--- /dev/null
+++ b/dandelionarch/ids.py
@@ -0,0 +1,19 @@
+"""Identifiers used across the package."""
+
+from typing import NewType
+
+VmId = NewType("VmId", str)
+DataCentreId = NewType("DataCentreId", str)
+RegionId = NewType("RegionId", str)
+EndpointId = NewType("EndpointId", str)
+ServiceName = NewType("ServiceName", str)
+CustomerId = NewType("CustomerId", str)
+PlanName = NewType("PlanName", str)
+RouteName = NewType("RouteName", str)
+CrestName = NewType("CrestName", str)
+RequestId = NewType("RequestId", str)
+AttemptId = NewType("AttemptId", int)
+RecordId = NewType("RecordId", str)
+Revision = NewType("Revision", int)
+Offset = NewType("Offset", int)
+Incarnation = NewType("Incarnation", int)
--- /dev/null
+++ b/dandelionarch/load/__init__.py
@@ -0,0 +1,1 @@
+"""An open-loop load generator."""
--- /dev/null
+++ b/dandelionarch/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements behind docs/MEASUREMENTS.md."""
--- /dev/null
+++ b/dandelionarch/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding, framing and authentication of messages between daemons."""
--- /dev/null
+++ b/dandelionarch/wire/codec.py
@@ -0,0 +1,128 @@
+"""Cap'n Proto encoding of the typed messages.
+
+A message class maps to the union field of the same name in its schema's
+`Envelope`; dataclass fields map to schema fields by camel case.
+"""
+
+import dataclasses
+import functools
+import typing
+from enum import IntEnum
+from pathlib import Path
+
+import capnp
+
+from dandelionarch.core.messages import members, request
+from dandelionarch.errors import MessageDecodeError
+
+capnp.remove_import_hook()
+
+SCHEMA_DIR = Path(__file__).parent
+TRAVERSAL_LIMIT_WORDS = 1 << 20
+NESTING_LIMIT = 8
+
+
+class Channel(IntEnum):
+    """Concern of a message, the first byte of its frame."""
+
+    REQUEST = 0
+    MEMBERS = 1
+
+
+CHANNELS = {
+    Channel.REQUEST: ("request.capnp", request.MESSAGES),
+    Channel.MEMBERS: ("members.capnp", members.MESSAGES),
+}
+
+
+def _camel(name):
+    head, *rest = name.split("_")
+    return head + "".join(part.capitalize() for part in rest)
+
+
+def _union_name(cls):
+    return cls.__name__[0].lower() + cls.__name__[1:]
+
+
+@functools.cache
+def _field_plan(cls):
+    """Return (attribute, schema field, nested class or None, is list) per field."""
+    hints = typing.get_type_hints(cls)
+    plan = []
+    for field in dataclasses.fields(cls):
+        hint = hints[field.name]
+        many = typing.get_origin(hint) is tuple
+        item = typing.get_args(hint)[0] if many else hint
+        nested = item if dataclasses.is_dataclass(item) else None
+        plan.append((field.name, _camel(field.name), nested, many))
+    return tuple(plan)
+
+
+def _to_dict(msg):
+    out = {}
+    for attr, name, nested, many in _field_plan(type(msg)):
+        value = getattr(msg, attr)
+        if nested and many:
+            value = [_to_dict(item) for item in value]
+        elif nested:
+            value = _to_dict(value)
+        elif many:
+            value = list(value)
+        out[name] = value
+    return out
+
+
+def _from_reader(cls, reader):
+    values = []
+    for _, name, nested, many in _field_plan(cls):
+        value = getattr(reader, name)
+        if nested and many:
+            value = tuple(_from_reader(nested, item) for item in value)
+        elif nested:
+            value = _from_reader(nested, value)
+        elif many:
+            value = tuple(value)
+        values.append(value)
+    return cls(*values)
+
+
+class Codec:
+    """Encodes and decodes the messages of all channels."""
+
+    def __init__(self):
+        self._envelopes = {}
+        self._by_class = {}
+        self._by_name = {}
+        for channel, (file, classes) in CHANNELS.items():
+            schema = capnp.load(str(SCHEMA_DIR / file))
+            self._envelopes[channel] = schema.Envelope
+            for cls in classes:
+                self._by_class[cls] = (channel, _union_name(cls))
+                self._by_name[channel, _union_name(cls)] = cls
+
+    def encode(self, msg):
+        """Return (channel, bytes) of a message."""
+        channel, name = self._by_class[type(msg)]
+        envelope = self._envelopes[channel].new_message(**{name: _to_dict(msg)})
+        return channel, envelope.to_bytes()
+
+    def decode(self, channel, data):
+        """Return the message of a payload.
+
+        Raises
+        ------
+        MessageDecodeError
+            If the channel is unknown or the payload is no valid message.
+        """
+        try:
+            envelope_type = self._envelopes[Channel(channel)]
+            with envelope_type.from_bytes(
+                data,
+                traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
+                nesting_limit=NESTING_LIMIT,
+            ) as envelope:
+                name = envelope.which()
+                cls = self._by_name[channel, str(name)]
+                return _from_reader(cls, getattr(envelope, str(name)))
+        except (capnp.KjException, ValueError, KeyError, UnicodeDecodeError) as exc:
+            raise MessageDecodeError(f"channel {channel}: {exc}") from exc
--- /dev/null
+++ b/dandelionarch/wire/framing.py
@@ -0,0 +1,127 @@
+"""Length-framed, authenticated frames between daemons.
+
+Each side sends a hello with a random nonce; the session keys are derived from the
+shared key and both nonces, one per direction. Every frame carries a code over its
+sequence number and content, so a stranger can neither inject, alter, reorder nor
+replay frames. Content is not encrypted.
+"""
+
+import hashlib
+import hmac
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+
+from dandelionarch.errors import (
+    AuthenticationError,
+    FrameTooLargeError,
+    MessageDecodeError,
+    VersionMismatchError,
+)
+
+MAGIC = b"DNDL"
+PROTOCOL_VERSION = 1
+NONCE_SIZE = 16
+MAC_SIZE = 16
+MAX_FRAME_BYTES = 1 << 20
+
+HELLO = struct.Struct("!4sH16s")
+LENGTH = struct.Struct("!I")
+FRAME_HEAD = struct.Struct("!BBQ")
+SEQUENCE = struct.Struct("!Q")
+
+
+class FrameKind(IntEnum):
+    """How a frame relates to others."""
+
+    ONE_WAY = 0
+    ASK = 1
+    REPLY = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Frame:
+    """One frame: a payload of a channel, with a correlation id for asks."""
+
+    channel: int
+    kind: FrameKind
+    correlation: int
+    payload: bytes
+
+
+def pack_hello(nonce):
+    """Return the hello of a new connection."""
+    return HELLO.pack(MAGIC, PROTOCOL_VERSION, nonce)
+
+
+def unpack_hello(data):
+    """Return the peer's nonce.
+
+    Raises
+    ------
+    AuthenticationError
+        If the bytes are not a hello.
+    VersionMismatchError
+        If the peer speaks another version.
+    """
+    magic, version, nonce = HELLO.unpack(data)
+    if magic != MAGIC:
+        raise AuthenticationError("connection does not start with a hello")
+    if version != PROTOCOL_VERSION:
+        raise VersionMismatchError(
+            f"peer speaks protocol version {version}, not {PROTOCOL_VERSION}"
+        )
+    return nonce
+
+
+def session_key(shared_key, sender_nonce, receiver_nonce):
+    """Return the key of one direction of a connection."""
+    return hmac.digest(shared_key, sender_nonce + receiver_nonce, hashlib.sha256)
+
+
+class FrameWriter:
+    """Packs the frames of one direction."""
+
+    def __init__(self, key):
+        self._key = key
+        self._sequence = 0
+
+    def pack(self, frame):
+        """Return the bytes of the next frame."""
+        head = FRAME_HEAD.pack(frame.channel, frame.kind, frame.correlation)
+        mac = _mac(self._key, self._sequence, head, frame.payload)
+        self._sequence += 1
+        size = len(head) + len(frame.payload) + MAC_SIZE
+        if size > MAX_FRAME_BYTES:
+            raise FrameTooLargeError(f"frame of {size} bytes")
+        return b"".join((LENGTH.pack(size), head, frame.payload, mac))
+
+
+class FrameReader:
+    """Checks and unpacks the frames of one direction."""
+
+    def __init__(self, key):
+        self._key = key
+        self._sequence = 0
+
+    def unpack(self, data):
+        """Return the frame in `data`, the bytes after the length field."""
+        if len(data) < FRAME_HEAD.size + MAC_SIZE:
+            raise MessageDecodeError(f"frame of {len(data)} bytes is too short")
+        head, payload = data[: FRAME_HEAD.size], data[FRAME_HEAD.size : -MAC_SIZE]
+        mac = _mac(self._key, self._sequence, head, payload)
+        if not hmac.compare_digest(mac, data[-MAC_SIZE:]):
+            raise AuthenticationError("frame authentication failed")
+        self._sequence += 1
+        channel, kind, correlation = FRAME_HEAD.unpack(head)
+        try:
+            return Frame(channel, FrameKind(kind), correlation, payload)
+        except ValueError as exc:
+            raise MessageDecodeError(f"unknown frame kind {kind}") from exc
+
+
+def _mac(key, sequence, head, payload):
+    mac = hashlib.blake2b(SEQUENCE.pack(sequence), key=key, digest_size=MAC_SIZE)
+    mac.update(head)
+    mac.update(payload)
+    return mac.digest()
--- /dev/null
+++ b/tests/support/__init__.py
@@ -0,0 +1,1 @@
+"""Shared parts of the tests."""
