--- a/dandelionarch/core/directory.py
+++ b/dandelionarch/core/directory.py
@@ -10,6 +10,15 @@
         self.vms = {}
         self.endpoints = {}
         self._by_service = {}
+        self._listeners = []
+
+    def on_change(self, listener):
+        """Call `listener(thing)` with each `Vm` or `Endpoint` that has changed."""
+        self._listeners.append(listener)
+
+    def _changed(self, thing):
+        for listener in self._listeners:
+            listener(thing)
 
     def put_vm(self, vm):
         """Record a VM; return True if this changed anything."""
@@ -19,6 +28,8 @@
         if known is not None and known.incarnation < vm.incarnation:
             self.drop_endpoints(vm.vm_id)
         self.vms[vm.vm_id] = vm
+        if known != vm:
+            self._changed(vm)
         return known != vm
 
     def put_endpoint(self, endpoint):
@@ -28,9 +39,13 @@
             return False
         if endpoint.state is EndpointState.GONE:
             self.drop_endpoint(endpoint.endpoint_id)
+            if known is not None:
+                self._changed(endpoint)
             return known is not None
         self.endpoints[endpoint.endpoint_id] = endpoint
         self._by_service.setdefault(endpoint.service, {})[endpoint.endpoint_id] = True
+        if known != endpoint:
+            self._changed(endpoint)
         return known != endpoint
 
     def drop_endpoint(self, endpoint_id):
--- /dev/null
+++ b/dandelionarch/core/streams.py
@@ -0,0 +1,37 @@
+"""Streams of the platform's log and the states folded from them."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from dandelionarch.ids import Offset, RecordId
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """One whole record at its place in a stream.
+
+    `time_s` is the log service's clock; no other clock takes part in a verdict.
+    """
+
+    offset: Offset
+    time_s: float
+    record_id: RecordId
+    data: bytes
+
+
+class Fold(ABC):
+    """A state that is a function of the records of one stream, in log order."""
+
+    stream: str
+
+    @abstractmethod
+    def apply(self, record):
+        """Fold one record and return what it changed, or None."""
+
+    @abstractmethod
+    def snapshot(self):
+        """Return the state as bytes."""
+
+    @abstractmethod
+    def restore(self, data):
+        """Replace the state by a snapshot's."""
