Run orders with an idempotency key at most once

A caller's own key is claimed in the log and runs only after the claim has been read back as the first one; a key that a daemon issued is granted once from that incarnation's memory. Ruled out: a table in memory alone, for which the state machine finds a second run after a home is replaced.

The property-based machine covers lost replies, delayed and repeated appends, replaced homes and late dispatch with fixed seeds.

--- /dev/null
+++ b/dandelionarch/core/issued_keys.py
@@ -0,0 +1,133 @@
+"""Idempotency keys that a daemon hands out and that bind an order to it.
+
+Only the incarnation that issued a key may grant its order, from a table in memory.
+The log is not on the path, so orders go on while the log is unavailable. When that
+incarnation is gone nobody grants the key any more.
+"""
+
+import hashlib
+import hmac
+from collections import deque
+from dataclasses import dataclass
+
+from dandelionarch.core.orders import (
+    DEFAULT_WINDOW_S,
+    ClaimVerdict,
+    Entry,
+    OrderState,
+    Ran,
+)
+from dandelionarch.ids import Incarnation, VmId
+
+MAC_HEX_CHARS = 24
+MAX_KEYS_PER_CALL = 1000
+MARK_PERIOD_S = 30.0
+
+
+@dataclass(frozen=True, slots=True)
+class IssuedKey:
+    """The parts of an issued key."""
+
+    vm_id: VmId
+    incarnation: Incarnation
+    sequence: int
+
+
+class KeyIssuer:
+    """Makes and checks issued keys with the fleet's shared key."""
+
+    def __init__(self, shared_key):
+        self._key = hashlib.sha256(b"issued-keys" + shared_key).digest()
+
+    def make(self, key, customer):
+        """Return the text of a key that only this customer can use."""
+        head = f"{key.vm_id}.{key.incarnation}.{key.sequence}"
+        return f"{head}.{self._mac(head, customer)}"
+
+    def parse(self, text, customer):
+        """Return the `IssuedKey` of a text, or None if it is a caller's own key."""
+        head, _, mac = text.rpartition(".")
+        if not hmac.compare_digest(
+            mac.encode("utf-8", "replace"), self._mac(head, customer).encode()
+        ):
+            return None
+        vm_id, incarnation, sequence = head.rsplit(".", 2)
+        return IssuedKey(VmId(vm_id), Incarnation(int(incarnation)), int(sequence))
+
+    def _mac(self, head, customer):
+        text = f"{head}\0{customer}".encode("utf-8", "replace")
+        return hmac.digest(self._key, text, "sha256").hex()[:MAC_HEX_CHARS]
+
+
+class IssuedOrders:
+    """The orders under keys that this incarnation has issued.
+
+    A key is good for the window after its issue. Later it is refused for good, so
+    forgetting its order cannot let it run again.
+
+    Parameters
+    ----------
+    window_s : float
+    """
+
+    def __init__(self, window_s=DEFAULT_WINDOW_S):
+        self.window_s = window_s
+        self._next = 1
+        self._expired_below = 1
+        self._marks = deque()
+        self._entries = {}
+
+    def __len__(self):
+        return len(self._entries)
+
+    def issue(self, count, now):
+        """Return the sequence numbers of new keys."""
+        self._expire(now)
+        if not self._marks or now - self._marks[-1][0] >= MARK_PERIOD_S:
+            self._marks.append((now, self._next))
+        first = self._next
+        self._next += count
+        return range(first, self._next)
+
+    def claim(self, claim, sequence, now):
+        """Grant the order of a key once; return (verdict, answer)."""
+        self._expire(now)
+        if not self._expired_below <= sequence < self._next:
+            return ClaimVerdict.EXPIRED, None
+        entry = self._entries.get(sequence)
+        if entry is None or entry.state is OrderState.RELEASED:
+            self._entries[sequence] = Entry(claim, now)
+            return ClaimVerdict.GRANTED, None
+        if entry.claim.body != claim.body:
+            return ClaimVerdict.CONFLICT, None
+        if entry.state is OrderState.RAN:
+            return ClaimVerdict.RAN, entry.answer
+        if entry.claim.claim_id == claim.claim_id:
+            return ClaimVerdict.GRANTED, None
+        return ClaimVerdict.TAKEN, None
+
+    def end(self, item, sequence):
+        """Note the outcome of a granted order."""
+        entry = self._entries.get(sequence)
+        if entry is None or entry.claim.claim_id != item.claim_id:
+            return
+        if entry.state is not OrderState.CLAIMED:
+            return
+        if isinstance(item, Ran):
+            entry.state, entry.answer = OrderState.RAN, item.answer
+        else:
+            entry.state = OrderState.RELEASED
+
+    def _expire(self, now):
+        # The second mark bounds the keys issued under the first one.
+        expired_below = self._expired_below
+        while len(self._marks) > 1 and now - self._marks[1][0] >= self.window_s:
+            self._marks.popleft()
+            expired_below = self._marks[0][1]
+        if expired_below != self._expired_below:
+            self._expired_below = expired_below
+            self._entries = {
+                sequence: entry
+                for sequence, entry in self._entries.items()
+                if sequence >= expired_below
+            }
--- a/dandelionarch/core/outcome.py
+++ b/dandelionarch/core/outcome.py
@@ -35,4 +35,6 @@
     RETRY_BUDGET = "retry_budget"
     ORDER_IN_PROGRESS = "order_in_progress"
     ORDER_LOST = "order_lost"
+    ORDER_ANSWER_TOO_LONG = "order_answer_too_long"
+    KEY_REUSED = "key_reused"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import logging
+import random
 import time
 
 from dandelionarch.core.config import CONFIG_STREAM, ConfigState, Publication, Verdict
 from dandelionarch.core.directory import Directory
+from dandelionarch.core.issued_keys import KeyIssuer
 from dandelionarch.core.lists import CustomerKeys, RouteTable
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.world import Vm
@@ -16,6 +18,8 @@
 from dandelionarch.daemon.ingress_http import IngressHttp
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.logclient import LogClient
+from dandelionarch.daemon.order_home import OrderHomes
+from dandelionarch.daemon.orders import OrderGate
 from dandelionarch.errors import PlatformError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
@@ -106,7 +110,22 @@
         self.network = PeerNetwork(self.vm_id, cfg.shared_key.encode(), self._address)
         self.agent = Agent(self.network, self.directory, self.vm_id)
         self.ingress = Ingress(self.network, self.directory, self.agent)
-        self.http = IngressHttp(self.ingress, self.active, settings.limits)
+        self.order_homes = OrderHomes(
+            self.client,
+            self.network,
+            self.directory,
+            self.vm,
+            settings.orders.window_s,
+        )
+        self.orders = OrderGate(
+            self.network,
+            self.directory,
+            self.order_homes,
+            KeyIssuer(cfg.shared_key.encode()),
+            self.vm,
+            random.Random(),
+        )
+        self.http = IngressHttp(self.ingress, self.orders, self.active, settings.limits)
         self.admin = Admin(self)
         self.exchange = DirectoryExchange(
             self.network, self.directory, self.vm, cfg.seed_addresses
@@ -138,7 +157,11 @@
             await server.startup()
             await server.start_serving()
             self._servers.append(server)
-        for coro in (self.config.run(), self.exchange.run()):
+        for coro in (
+            self.config.run(),
+            self.exchange.run(),
+            self.order_homes.run(),
+        ):
             self._tasks.append(asyncio.create_task(coro))
 
     async def _drain(self):
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -12,6 +12,7 @@
 from sanic.response import HTTPResponse, json
 
 from dandelionarch.core.ingress import Refuse, Work
+from dandelionarch.core.issued_keys import MAX_KEYS_PER_CALL
 from dandelionarch.core.messages.request import Header
 from dandelionarch.core.outcome import Outcome, Reason
 from dandelionarch.daemon.agent import HOP_HEADERS
@@ -23,6 +24,11 @@
     Outcome.NOT_RUN: 503,
     Outcome.UNKNOWN: 502,
 }
+REASON_STATUS = {
+    Reason.DEADLINE: 504,
+    Reason.KEY_REUSED: 422,
+    Reason.ORDER_IN_PROGRESS: 409,
+}
 METHODS = ["GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS"]
 
 
@@ -62,14 +68,17 @@
     ----------
     ingress : Ingress
         Runs the requests.
+    orders : OrderGate
+        Lets an order with an idempotency key pass at most once.
     state : object
         Has `keys`, `routes` and `lists` of the accepted configuration, or None.
     limits : LimitsSection
         Size limits.
     """
 
-    def __init__(self, ingress, state, limits):
+    def __init__(self, ingress, orders, state, limits):
         self._ingress = ingress
+        self._orders = orders
         self._state = state
         self._limits = limits
         self.in_flight = 0
@@ -80,6 +89,9 @@
         self.app.config.TOUCHUP = False
         self.app.config.REQUEST_TIMEOUT = 10
         self.app.config.RESPONSE_TIMEOUT = 3600
+        self.app.add_route(
+            self._issue_keys, "/dandelion/keys", methods=["POST"], name="keys"
+        )
         self.app.add_route(self._handle, "/", methods=METHODS, name="root")
         self.app.add_route(
             self._handle, "/<path:path>", methods=METHODS, name="any", unquote=False
@@ -133,13 +145,35 @@
             route.idempotent,
             self._state.lists.plans[plan].priority,
         )
-        result = await self._ingress.run(
-            work, _caller_request(request), started + budget_s
-        )
+        req = _caller_request(request)
+        result = await self._run(request, work, req, started + budget_s)
         if isinstance(result, Refuse):
             return self._refusal(work, result, started)
         return await self._deliver(request, work, result, started)
 
+    async def _run(self, request, work, req, deadline):
+        async def execute():
+            return await self._ingress.run(work, req, deadline)
+
+        key = request.headers.get("idempotency-key")
+        if key is None or work.idempotent:
+            return await execute()
+        return await self._orders.run(work, req, key, deadline, execute)
+
+    async def _issue_keys(self, request):
+        """Hand out idempotency keys that bind orders to this daemon."""
+        request_id = uuid.uuid4().hex
+        if self._state.lists is None:
+            return problem(503, Reason.NOT_READY.value, request_id, retry_after_s=2)
+        customer = self._authenticate(request)
+        if customer is None:
+            return problem(401, "unknown customer", request_id)
+        count = request.args.get("count", "1")
+        if not count.isdecimal() or not 1 <= int(count) <= MAX_KEYS_PER_CALL:
+            title = f"count is not a number from 1 to {MAX_KEYS_PER_CALL}"
+            return problem(400, title, request_id)
+        return json({"keys": self._orders.issue(int(count), customer)})
+
     def _authenticate(self, request):
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer" or not key:
@@ -158,8 +192,7 @@
 
     def _refusal(self, work, refuse, started):
         status = STATUS[refuse.outcome]
-        if refuse.reason is Reason.DEADLINE:
-            status = 504
+        status = REASON_STATUS.get(refuse.reason, status)
         self._log_outcome(work, refuse.outcome, status, started, refuse.reason.value)
         return problem(
             status,
--- /dev/null
+++ b/dandelionarch/daemon/order_home.py
@@ -0,0 +1,269 @@
+"""Homes of orders: partitions of the claims in the log, and issued keys."""
+
+import asyncio
+import logging
+
+from dandelionarch.core.issued_keys import IssuedOrders
+from dandelionarch.core.messages import orders as msgs
+from dandelionarch.core.messages.request import Header
+from dandelionarch.core.orders import (
+    PARTITIONS,
+    Claim,
+    ClaimBatch,
+    ClaimVerdict,
+    OrderFold,
+    Ran,
+    Released,
+    StoredAnswer,
+    encode_items,
+    partition_of,
+)
+from dandelionarch.core.rendezvous import rank
+from dandelionarch.core.streams import Record
+from dandelionarch.errors import OffsetTruncatedError, PlatformError
+from dandelionarch.ids import RecordId
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+READ_WAIT_MS = 500
+LOG_TIMEOUT_S = 1.5
+RETRY_DELAY_S = 0.1
+# One failed append is often a lost reply; two in a row mean an outage.
+FAILED_APPENDS_FOR_OUTAGE = 2
+REVIEW_PERIOD_S = 1.0
+# The second in rank follows as well, so that it can take over at once.
+HOMES_PER_PARTITION = 2
+
+
+class PartitionHome:
+    """Task that follows one partition's stream and appends claims to it."""
+
+    def __init__(self, partition, client, window_s):
+        self.fold = OrderFold(partition, window_s)
+        self.batch = ClaimBatch()
+        self._client = client
+        self._next = 0
+        self._caught_up = False
+        self._available = True
+        self._failed_appends = 0
+        self._changed = asyncio.Condition()
+        self._work = asyncio.Event()
+        self._tasks = [
+            asyncio.create_task(self._follow()),
+            asyncio.create_task(self._append()),
+        ]
+
+    async def stop(self):
+        """End both tasks; claims that wait get no verdict."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def claim(self, claim, wait_s):
+        """Return (verdict, answer) within `wait_s` seconds."""
+        verdict = ClaimVerdict.UNAVAILABLE, None
+        try:
+            async with asyncio.timeout(wait_s), self._changed:
+                while True:
+                    verdict = self._try(claim)
+                    if verdict is not None and self._is_final(verdict[0]):
+                        return verdict
+                    await self._changed.wait()
+        except TimeoutError:
+            return verdict or (ClaimVerdict.UNAVAILABLE, None)
+        finally:
+            self.batch.drop_claim(claim.claim_id)
+
+    def end(self, item):
+        """Append the outcome of a claim."""
+        self.batch.add(item)
+        self._work.set()
+
+    def _try(self, claim):
+        """Return a verdict, or None while the claim waits for the log."""
+        verdict = self.fold.verdict(claim)
+        if verdict is not None and verdict[0] is ClaimVerdict.TAKEN:
+            answer = self.batch.answer_of(self.fold.holder(claim.key).claim_id)
+            return verdict if answer is None else (ClaimVerdict.RAN, answer)
+        if verdict is not None:
+            return verdict
+        if not self._available:
+            return ClaimVerdict.UNAVAILABLE, None
+        if self._caught_up:
+            self.batch.add(claim)
+            self._work.set()
+        return None
+
+    def _is_final(self, verdict):
+        # During an outage nothing more will be learnt of a key that is taken.
+        return verdict is not ClaimVerdict.TAKEN or not self._available
+
+    async def _follow(self):
+        while True:
+            try:
+                async with asyncio.timeout(LOG_TIMEOUT_S):
+                    records = await self._client.read(
+                        self.fold.stream, self._next, wait_ms=READ_WAIT_MS
+                    )
+            except OffsetTruncatedError as exc:
+                await self._skip_to(exc.first_offset)
+                continue
+            except (PlatformError, TimeoutError):
+                await self._set_available(False)
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            await self._apply(records)
+
+    async def _skip_to(self, first_offset):
+        """Continue after a gap that retention has left in the history."""
+        if self._next > 0:
+            records = await self._client.read(self.fold.stream, first_offset, limit=1)
+            if records:
+                self.fold.history_lost(records[0].time_s)
+        self._next = first_offset
+
+    async def _apply(self, records):
+        for record in records:
+            self._next = record.offset + 1
+            whole = Record(record.offset, record.time_s, RecordId(""), record.data)
+            for item in self.fold.apply(whole):
+                self.batch.seen(item)
+        # An empty long poll shows that everything before it has been read.
+        self._caught_up = self._caught_up or len(records) < 1000
+        self._available = self._failed_appends < FAILED_APPENDS_FOR_OUTAGE
+        if records or not self._available:
+            async with self._changed:
+                self._changed.notify_all()
+
+    async def _append(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            if not len(self.batch):
+                self._work.clear()
+                await self._work.wait()
+            items = self.batch.due(loop.time())
+            if not items:
+                await asyncio.sleep(self.batch.period_s / 5)
+                continue
+            try:
+                async with asyncio.timeout(LOG_TIMEOUT_S):
+                    await self._client.append(self.fold.stream, encode_items(items))
+                self._failed_appends = 0
+            except (PlatformError, TimeoutError) as exc:
+                self._failed_appends += 1
+                event(
+                    log,
+                    "claim_append_in_doubt",
+                    logging.WARNING,
+                    stream=self.fold.stream,
+                    items=len(items),
+                    error=type(exc).__name__,
+                )
+                self.batch.retry_after(loop.time(), RETRY_DELAY_S)
+                if self._failed_appends >= FAILED_APPENDS_FOR_OUTAGE:
+                    await self._set_available(False)
+
+    async def _set_available(self, available):
+        if available != self._available:
+            self._available = available
+            event(log, "order_log", stream=self.fold.stream, available=available)
+        async with self._changed:
+            self._changed.notify_all()
+
+
+class OrderHomes:
+    """Answers claims for the partitions and the keys that are at home here.
+
+    Parameters
+    ----------
+    client : LogClient
+    network : PeerNetwork
+    directory : Directory
+    vm : Vm
+        This daemon's VM.
+    window_s : float
+        Seconds for which a key is remembered.
+    """
+
+    def __init__(self, client, network, directory, vm, window_s):
+        self.issued = IssuedOrders(window_s)
+        self._client = client
+        self._directory = directory
+        self._vm = vm
+        self._window_s = window_s
+        self._partitions = {}
+        network.subscribe(msgs.ClaimQuery, self._on_query)
+        network.subscribe(msgs.OrderOutcome, self._on_outcome)
+
+    async def run(self):
+        """Follow the partitions that this VM is home of, until cancelled."""
+        try:
+            while True:
+                await self._review()
+                await asyncio.sleep(REVIEW_PERIOD_S)
+        finally:
+            for home in self._partitions.values():
+                await home.stop()
+
+    def homes_of(self, partition):
+        """Return the VMs to ask about a partition, the preferred one first."""
+        vm_ids = [vm.vm_id for vm in self._directory.living_vms()]
+        return rank(f"orders-{partition}", vm_ids)[:HOMES_PER_PARTITION]
+
+    def issue(self, count):
+        """Return the sequence numbers of new keys."""
+        return self.issued.issue(count, asyncio.get_running_loop().time())
+
+    async def _review(self):
+        for partition in range(PARTITIONS):
+            if self._vm.vm_id in self.homes_of(partition):
+                self._home(partition)
+            elif (home := self._partitions.get(partition)) and not len(home.batch):
+                del self._partitions[partition]
+                await home.stop()
+
+    def _home(self, partition):
+        home = self._partitions.get(partition)
+        if home is None:
+            home = PartitionHome(partition, self._client, self._window_s)
+            self._partitions[partition] = home
+        return home
+
+    async def _on_query(self, link, query):
+        claim = Claim(
+            query.key, query.body, query.claim_id, query.vm_id, query.incarnation
+        )
+        if query.sequence:
+            now = asyncio.get_running_loop().time()
+            verdict, answer = self.issued.claim(claim, query.sequence, now)
+        else:
+            home = self._home(partition_of(query.key))
+            verdict, answer = await home.claim(claim, query.wait_ms / 1000)
+        event(
+            log,
+            "claim",
+            key=query.key,
+            claim=query.claim_id,
+            claimant=query.vm_id,
+            verdict=verdict.value,
+        )
+        if answer is None:
+            return msgs.ClaimReply(verdict.value, 0, (), b"", False)
+        headers = tuple(Header(name, value) for name, value in answer.headers)
+        body = answer.body
+        return msgs.ClaimReply(
+            verdict.value, answer.status, headers, body or b"", body is not None
+        )
+
+    def _on_outcome(self, link, msg):
+        if msg.ran:
+            headers = tuple((h.name, h.value) for h in msg.headers)
+            body = msg.body if msg.has_body else None
+            item = Ran(msg.key, msg.claim_id, StoredAnswer(msg.status, headers, body))
+        else:
+            item = Released(msg.key, msg.claim_id)
+        if msg.sequence:
+            self.issued.end(item, msg.sequence)
+        else:
+            self._home(partition_of(msg.key)).end(item)
--- /dev/null
+++ b/dandelionarch/daemon/orders.py
@@ -0,0 +1,240 @@
+"""Ingress side of orders: claims a key before the order is dispatched."""
+
+import asyncio
+import logging
+import uuid
+from dataclasses import dataclass
+
+from dandelionarch.core.ingress import Refuse
+from dandelionarch.core.issued_keys import IssuedKey
+from dandelionarch.core.messages import orders as msgs
+from dandelionarch.core.messages.request import Header
+from dandelionarch.core.orders import (
+    MAX_STORED_ANSWER_BYTES,
+    ClaimVerdict,
+    body_digest,
+    key_digest,
+    partition_of,
+)
+from dandelionarch.core.outcome import Outcome, Reason
+from dandelionarch.core.world import VmState
+from dandelionarch.errors import LinkError
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+# Time that is left for the order itself when its claim gets a late verdict.
+RESERVE_S = 0.05
+REPLY_GRACE_S = 0.2
+TAKEN_POLL_S = 0.2
+RETRY_AFTER_MIN_S = 1.0
+RETRY_AFTER_SPREAD_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class StoredReply:
+    """An answer from an earlier run of the order, in the form of `Answer`."""
+
+    status: int
+    headers: tuple
+    body: bytes
+    whole: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """A claim of this ingress: what is asked and which VMs decide it."""
+
+    query: msgs.ClaimQuery
+    homes: tuple
+
+
+REFUSALS = {
+    ClaimVerdict.TAKEN: (Outcome.UNKNOWN, Reason.ORDER_IN_PROGRESS),
+    ClaimVerdict.EXPIRED: (Outcome.UNKNOWN, Reason.ORDER_LOST),
+    ClaimVerdict.UNAVAILABLE: (Outcome.UNKNOWN, Reason.PLATFORM_UNAVAILABLE),
+    ClaimVerdict.CONFLICT: (Outcome.NOT_RUN, Reason.KEY_REUSED),
+}
+
+
+class OrderGate:
+    """Lets an order with a key pass at most once.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+    directory : Directory
+    homes : OrderHomes
+    issuer : KeyIssuer
+    vm : Vm
+        This daemon's VM.
+    rng : random.Random
+        Source of the spread of `Retry-After`.
+    """
+
+    def __init__(self, network, directory, homes, issuer, vm, rng):
+        self._network = network
+        self._directory = directory
+        self._homes = homes
+        self._issuer = issuer
+        self._vm = vm
+        self._rng = rng
+
+    def issue(self, count, customer):
+        """Return the texts of new keys for a customer."""
+        return [
+            self._issuer.make(
+                IssuedKey(self._vm.vm_id, self._vm.incarnation, sequence), customer
+            )
+            for sequence in self._homes.issue(count)
+        ]
+
+    async def run(self, work, req, key, deadline, execute):
+        """Run an order once, or tell how its earlier run ended.
+
+        Parameters
+        ----------
+        work, req
+            As for `Ingress.run`; the body of `req` is whole.
+        key : str
+            The idempotency key.
+        deadline : float
+            Loop time in seconds.
+        execute : callable
+            `await execute()` dispatches the order and returns its result.
+        """
+        ticket = self._ticket(work, req, key)
+        if ticket is None:
+            return self._refuse(ClaimVerdict.EXPIRED)
+        verdict, reply = await self._claim(ticket, deadline)
+        event(
+            log,
+            "order_claim",
+            request=work.request_id,
+            verdict=verdict.value,
+            key=ticket.query.key,
+            claim=ticket.query.claim_id,
+        )
+        if verdict is ClaimVerdict.RAN:
+            return self._stored(reply)
+        if verdict is not ClaimVerdict.GRANTED:
+            if verdict is ClaimVerdict.UNAVAILABLE:
+                await self._tell(ticket, ran=False)
+            return self._refuse(verdict)
+        result = await execute()
+        await self._report(ticket, result)
+        return result
+
+    def _ticket(self, work, req, key):
+        """Return the `Ticket` of a key, or None if its issuer is gone."""
+        digest = key_digest(work.customer, key)
+        issued = self._issuer.parse(key, work.customer)
+        sequence = 0
+        if issued is not None:
+            vm = self._directory.vms.get(issued.vm_id)
+            if vm is None or vm.incarnation != issued.incarnation:
+                return None
+            if vm.state is VmState.DEAD:
+                return None
+            sequence, homes = issued.sequence, (issued.vm_id,)
+        else:
+            homes = tuple(self._homes.homes_of(partition_of(digest)))
+        query = msgs.ClaimQuery(
+            digest,
+            body_digest(req.method, req.target, req.body),
+            uuid.uuid4().hex,
+            self._vm.vm_id,
+            self._vm.incarnation,
+            sequence,
+            0,
+        )
+        return Ticket(query, homes)
+
+    async def _claim(self, ticket, deadline):
+        """Return (verdict, reply), asking again while the key is taken."""
+        loop = asyncio.get_running_loop()
+        while True:
+            verdict, reply = await self._ask_homes(ticket, deadline - RESERVE_S)
+            left_s = deadline - RESERVE_S - loop.time()
+            if verdict is ClaimVerdict.GRANTED and left_s <= 0:
+                return ClaimVerdict.UNAVAILABLE, None
+            if verdict is not ClaimVerdict.TAKEN or left_s <= TAKEN_POLL_S:
+                return verdict, reply
+            await asyncio.sleep(TAKEN_POLL_S)
+
+    async def _ask_homes(self, ticket, deadline):
+        loop = asyncio.get_running_loop()
+        for vm_id in ticket.homes:
+            left_s = deadline - loop.time()
+            if left_s <= 0:
+                break
+            query = _with_wait(ticket.query, left_s)
+            try:
+                reply = await self._network.ask(vm_id, query, left_s + REPLY_GRACE_S)
+            except LinkError as exc:
+                event(
+                    log,
+                    "order_home_unreachable",
+                    logging.WARNING,
+                    vm=vm_id,
+                    detail=str(exc),
+                )
+                continue
+            return ClaimVerdict(reply.verdict), reply
+        return ClaimVerdict.UNAVAILABLE, None
+
+    async def _report(self, ticket, result):
+        """Tell the homes how the order ended, if that is known."""
+        if isinstance(result, Refuse):
+            if result.outcome is Outcome.NOT_RUN:
+                await self._tell(ticket, ran=False)
+            return
+        body = result.body if result.whole else None
+        if body is not None and len(body) > MAX_STORED_ANSWER_BYTES:
+            body = None
+        await self._tell(ticket, True, result.status, result.headers, body)
+
+    async def _tell(self, ticket, ran, status=0, headers=(), body=None):
+        query = ticket.query
+        outcome = msgs.OrderOutcome(
+            query.key,
+            query.claim_id,
+            query.sequence,
+            ran,
+            status,
+            tuple(headers),
+            body or b"",
+            body is not None,
+        )
+        for vm_id in ticket.homes:
+            try:
+                await self._network.send(vm_id, outcome)
+                return
+            except LinkError:
+                continue
+        event(log, "order_outcome_lost", logging.WARNING, key=query.key)
+
+    def _stored(self, reply):
+        if not reply.has_body:
+            return self._refusal(Outcome.UNKNOWN, Reason.ORDER_ANSWER_TOO_LONG)
+        headers = (*reply.headers, Header("Dandelion-Repeated", "1"))
+        return StoredReply(reply.status, headers, reply.body)
+
+    def _refuse(self, verdict):
+        return self._refusal(*REFUSALS[verdict])
+
+    def _refusal(self, outcome, reason):
+        spread = self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
+        return Refuse(outcome, reason, RETRY_AFTER_MIN_S + spread)
+
+
+def _with_wait(query, wait_s):
+    return msgs.ClaimQuery(
+        query.key,
+        query.body,
+        query.claim_id,
+        query.vm_id,
+        query.incarnation,
+        query.sequence,
+        max(1, int(wait_s * 1000)),
+    )
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -47,6 +47,23 @@
     stop_timeout_s: float = pydantic.Field(default=30.0, ge=0.1, le=3600)
 
 
+class OrdersSection(_Section):
+    """`[orders]`: how long an idempotency key is remembered.
+
+    `log_retention_s` is the log service's retention. It has to be at least twice
+    the window, so that a claim within the window is never truncated.
+    """
+
+    window_s: float = pydantic.Field(default=3600.0, ge=1, le=7 * 86_400)
+    log_retention_s: float = pydantic.Field(default=86_400.0, ge=2)
+
+    @pydantic.model_validator(mode="after")
+    def _retention_covers_window(self):
+        if self.log_retention_s < 2 * self.window_s:
+            raise ValueError("log_retention_s must be at least twice window_s")
+        return self
+
+
 class StatsdSection(_Section):
     """`[statsd]`: where metrics go; none are sent without a host."""
 
@@ -69,6 +86,7 @@
 
     daemon: DaemonSection
     limits: LimitsSection = LimitsSection()
+    orders: OrdersSection = OrdersSection()
     statsd: StatsdSection = StatsdSection()
     logs: LogsSection = LogsSection()
 
@@ -76,6 +94,7 @@
 SECTIONS = {
     "daemon": DaemonSection,
     "limits": LimitsSection,
+    "orders": OrdersSection,
     "statsd": StatsdSection,
     "logs": LogsSection,
 }
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,336 @@
+"""Orders with an idempotency key run at most once."""
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from dandelionarch.core.issued_keys import IssuedKey, IssuedOrders, KeyIssuer
+from dandelionarch.core.orders import (
+    Claim,
+    ClaimBatch,
+    ClaimVerdict,
+    OrderFold,
+    Ran,
+    Released,
+    StoredAnswer,
+    body_digest,
+    decode_items,
+    encode_items,
+    key_digest,
+)
+from dandelionarch.core.streams import Record
+
+ANSWER = StoredAnswer(201, (("Content-Type", "text/plain"),), b"\x00done")
+WINDOW_S = 100.0
+
+
+def claim(claim_id, key="k", body="b"):
+    """Return a claim on a key."""
+    return Claim(key, body, claim_id, "vm-1", 1)
+
+
+def fold_of(*batches, window_s=WINDOW_S):
+    """Return a fold of records with the given (time, items)."""
+    fold = OrderFold(0, window_s)
+    for offset, (time_s, items) in enumerate(batches):
+        fold.apply(Record(offset, time_s, "", encode_items(items)))
+    return fold
+
+
+class TestOrderFold:
+    """Verdicts follow from the log's order alone."""
+
+    def test_first_claim_wins_and_a_repeated_append_counts_once(self):
+        """Guards against a second grant after a lost append reply."""
+        one, two = claim("1"), claim("2")
+        fold = fold_of((0, [one]), (1, [two, one]))
+        assert fold.verdict(one) == (ClaimVerdict.GRANTED, None)
+        assert fold.verdict(two) == (ClaimVerdict.TAKEN, None)
+
+    def test_repeat_gets_the_answer(self):
+        """Guards against running an order again that has an answer."""
+        fold = fold_of((0, [claim("1")]), (1, [Ran("k", "1", ANSWER)]))
+        assert fold.verdict(claim("2")) == (ClaimVerdict.RAN, ANSWER)
+
+    def test_other_body_conflicts(self):
+        """Guards against answering one order with another one's outcome."""
+        fold = fold_of((0, [claim("1")]))
+        assert fold.verdict(claim("2", body="other"))[0] is ClaimVerdict.CONFLICT
+
+    def test_released_key_can_be_claimed_again_by_others_only(self):
+        """Guards against a claim that comes back after it was given up."""
+        fold = fold_of((0, [claim("1")]), (1, [Released("k", "1")]))
+        fold.apply(Record(2, 2, "", encode_items([claim("1")])))
+        assert fold.verdict(claim("1")) is None
+        fold.apply(Record(3, 3, "", encode_items([claim("2")])))
+        assert fold.verdict(claim("2")) == (ClaimVerdict.GRANTED, None)
+
+    def test_release_that_overtakes_its_claim_ends_it(self):
+        """Guards against a grant of a claim whose append was delayed."""
+        fold = fold_of((0, [Released("k", "1")]), (1, [claim("1")]))
+        assert fold.verdict(claim("1")) is None
+
+    def test_late_outcome_of_a_lost_claim_is_ignored(self):
+        """Guards against an outcome told by a daemon that lost the claim."""
+        fold = fold_of((0, [claim("1"), claim("2"), Ran("k", "2", ANSWER)]))
+        assert fold.verdict(claim("3"))[0] is ClaimVerdict.TAKEN
+
+    def test_gap_in_the_history_gives_no_grant(self):
+        """Guards against a second run after retention passed the first claim."""
+        fold = OrderFold(0, WINDOW_S)
+        fold.history_lost(50.0)
+        fold.apply(Record(7, 60.0, "", encode_items([claim("1")])))
+        assert fold.verdict(claim("1"))[0] is ClaimVerdict.UNAVAILABLE
+        later = claim("2", key="other")
+        fold.apply(Record(8, 151.0, "", encode_items([later])))
+        assert fold.verdict(later)[0] is ClaimVerdict.GRANTED
+
+    def test_memory_is_bounded_by_the_window(self):
+        """Guards against keys that are kept for ever."""
+        fold = fold_of(
+            *(
+                (t, [claim(str(t), key=f"k{t}"), Released("k0", f"x{t}")])
+                for t in range(500)
+            )
+        )
+        assert len(fold) == WINDOW_S
+        assert len(fold._abandoned) == WINDOW_S
+
+    def test_items_survive_encoding(self):
+        """Guards against binary answers that are changed by the log."""
+        items = [claim("1"), Ran("k", "1", ANSWER), Released("k", "2")]
+        assert list(decode_items(encode_items(items))) == items
+
+
+class TestDigests:
+    """Digests keep customers and requests apart."""
+
+    def test_customers_with_the_same_key_do_not_collide(self):
+        """Guards against one customer's order answering another's."""
+        assert key_digest("a", "k") != key_digest("b", "k")
+        assert key_digest("a", "\0k") != key_digest("a\0", "k")
+
+    def test_method_target_and_body_count(self):
+        """Guards against a key that is reused for another request."""
+        digests = {
+            body_digest("POST", "/a", b"x"),
+            body_digest("PUT", "/a", b"x"),
+            body_digest("POST", "/a", b"y"),
+            body_digest("POST", "/ax", b""),
+        }
+        assert len(digests) == 4
+
+
+class TestClaimBatch:
+    """Claims share appends, so the platform's limit holds."""
+
+    def test_one_append_per_period(self):
+        """Guards against an append per order."""
+        batch = ClaimBatch(period_s=0.05)
+        batch.add(claim("1"))
+        batch.add(claim("2"))
+        assert len(batch.due(1.0)) == 2
+        assert batch.due(1.04) == []
+        assert len(batch.due(1.06)) == 2
+
+    def test_items_wait_until_the_log_shows_them(self):
+        """Guards against an outcome that a failed append has lost."""
+        batch = ClaimBatch()
+        item = Ran("k", "1", ANSWER)
+        batch.add(item)
+        batch.due(1.0)
+        assert batch.answer_of("1") == ANSWER
+        batch.seen(item)
+        assert len(batch) == 0
+
+
+class TestIssuedKeys:
+    """Keys that bind an order to the incarnation that issued them."""
+
+    def test_key_of_another_customer_or_fleet_is_not_issued(self):
+        """Guards against forged keys."""
+        issuer = KeyIssuer(b"k" * 16)
+        key = IssuedKey("vm-1", 5, 9)
+        text = issuer.make(key, "shop")
+        assert issuer.parse(text, "shop") == key
+        assert issuer.parse(text, "club") is None
+        assert KeyIssuer(b"x" * 16).parse(text, "shop") is None
+        assert issuer.parse("my-own.key.of.mine", "shop") is None
+        assert issuer.parse("schlüssel", "shop") is None
+
+    def test_order_is_granted_once(self):
+        """Guards against two runs under one issued key."""
+        orders = IssuedOrders(WINDOW_S)
+        (seq,) = orders.issue(1, 0.0)
+        assert orders.claim(claim("1"), seq, 1.0)[0] is ClaimVerdict.GRANTED
+        assert orders.claim(claim("2"), seq, 1.0)[0] is ClaimVerdict.TAKEN
+        orders.end(Ran("k", "1", ANSWER), seq)
+        assert orders.claim(claim("3"), seq, 2.0) == (ClaimVerdict.RAN, ANSWER)
+
+    def test_key_is_refused_for_good_after_its_window(self):
+        """Guards against a second run after the first one was forgotten."""
+        orders = IssuedOrders(WINDOW_S)
+        (seq,) = orders.issue(1, 0.0)
+        orders.claim(claim("1"), seq, 1.0)
+        orders.issue(1, 40.0)
+        orders.issue(1, 200.0)
+        assert len(orders) == 0
+        assert orders.claim(claim("2"), seq, 200.0)[0] is ClaimVerdict.EXPIRED
+
+    def test_key_that_was_never_issued_is_refused(self):
+        """Guards against a sequence number of an earlier incarnation."""
+        assert IssuedOrders().claim(claim("1"), 7, 0.0)[0] is ClaimVerdict.EXPIRED
+
+
+class OrderMachine(RuleBasedStateMachine):
+    """Ingresses and homes with lost replies, repeats, crashes and pauses.
+
+    `read_back` False switches the mechanism off: a home then grants from its own
+    memory, as it would without the log.
+    """
+
+    read_back = True
+    keys = st.sampled_from(["k1", "k2"])
+    homes_drawn = st.integers(0, 1)
+
+    def __init__(self):
+        super().__init__()
+        self.log = []
+        self.homes = [self._new_home(), self._new_home()]
+        self.in_transit = []
+        self.attempts = {}
+        self.granted = []
+        self.runs = {}
+        self.refused_not_run = set()
+        self.count = 0
+
+    @staticmethod
+    def _new_home():
+        return {"fold": OrderFold(0, 1e9), "batch": ClaimBatch(0.0), "next": 0}
+
+    @rule(key=keys, home=homes_drawn)
+    def ask(self, key, home):
+        """An ingress claims a key at one of the homes."""
+        self.count += 1
+        new = claim(f"c{self.count}", key)
+        self.attempts[new.claim_id] = new
+        self.homes[home]["batch"].add(new)
+
+    @rule(home=homes_drawn, lost=st.booleans(), delayed=st.booleans())
+    def append(self, home, lost, delayed):
+        """A home appends; the reply or the append itself is lost or delayed."""
+        items = self.homes[home]["batch"].due(float(self.count) + 1e6)
+        if not items:
+            return
+        if delayed:
+            self.in_transit.append(items)
+        else:
+            self.log.append(items)
+        if not lost:
+            for item in items:
+                self.homes[home]["batch"].seen(item)
+
+    @rule()
+    def arrive_late(self):
+        """A delayed append takes effect now."""
+        if self.in_transit:
+            self.log.append(self.in_transit.pop(0))
+
+    @rule(home=homes_drawn, records=st.integers(1, 4))
+    def read(self, home, records):
+        """A home reads on in the log."""
+        state = self.homes[home]
+        for items in self.log[state["next"] : state["next"] + records]:
+            record = Record(state["next"], 0.0, "", encode_items(items))
+            for item in state["fold"].apply(record):
+                state["batch"].seen(item)
+            state["next"] += 1
+
+    @rule(home=homes_drawn)
+    def crash(self, home):
+        """A home is replaced and starts from the first record."""
+        self.homes[home] = self._new_home()
+
+    @rule(home=homes_drawn, data=st.data())
+    def reply(self, home, data):
+        """A home tells an ingress its verdict; the ingress may run the order."""
+        if not self.attempts:
+            return
+        claim_id = data.draw(st.sampled_from(sorted(self.attempts)))
+        asked = self.attempts[claim_id]
+        if self._verdict(home, asked) is not ClaimVerdict.GRANTED:
+            return
+        del self.attempts[claim_id]
+        self.granted.append(asked)
+
+    def _verdict(self, home, asked):
+        verdict = self.homes[home]["fold"].verdict(asked)
+        if verdict is None and not self.read_back:
+            return ClaimVerdict.GRANTED
+        return verdict and verdict[0]
+
+    @rule(home=homes_drawn, outcome=st.sampled_from(["ran", "not_run", "unknown"]))
+    def dispatch(self, home, outcome):
+        """The holder of a grant dispatches, perhaps long after it was granted."""
+        if not self.granted:
+            return
+        asked = self.granted.pop()
+        if outcome == "not_run":
+            self.homes[home]["batch"].add(Released(asked.key, asked.claim_id))
+            return
+        self.runs.setdefault(asked.key, []).append(asked.claim_id)
+        if outcome == "ran":
+            self.homes[home]["batch"].add(Ran(asked.key, asked.claim_id, ANSWER))
+
+    @rule(home=homes_drawn, data=st.data())
+    def give_up(self, home, data):
+        """An ingress without a verdict gives its claim up."""
+        if self.attempts:
+            claim_id = data.draw(st.sampled_from(sorted(self.attempts)))
+            asked = self.attempts.pop(claim_id)
+            self.homes[home]["batch"].add(Released(asked.key, claim_id))
+
+    @invariant()
+    def no_key_ran_twice(self):
+        """Each key has at most one run."""
+        for key, runs in self.runs.items():
+            assert len(runs) <= 1, (key, runs)
+
+
+class MemoryOnlyMachine(OrderMachine):
+    """The same with homes that grant from memory."""
+
+    read_back = False
+
+
+MACHINE_SETTINGS = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=120,
+    stateful_step_count=30,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class TestOrderMachine:
+    """No key runs twice, whatever is lost, repeated, delayed or replaced."""
+
+    def test_no_key_runs_twice(self):
+        """Guards the promise that an order runs at most once."""
+        run_state_machine(OrderMachine)
+
+    def test_memory_alone_runs_a_key_twice(self):
+        """Shows that the claims in the log are what keeps the promise."""
+        with pytest.raises(AssertionError):
+            run_state_machine(MemoryOnlyMachine, phases=[Phase.generate])
+
+
+def run_state_machine(machine, **options):
+    """Run a state machine with fixed seeds."""
+    run_state_machine_as_test(machine, settings=settings(MACHINE_SETTINGS, **options))
