Order the agent's queue by cost, age and plan

The first-in first-out queue let short work wait behind long work and queued requests that could no longer end in time. The new queue keeps one slot closed to long work, runs the lowest cost first with ageing, refuses at once what is predicted to end after its deadline, and under shortage gives up the lowest plan first. Costs are learnt per route as a weighted log-normal fit; deviations are capped so that one straggler does not make its kind of work long.

Ruled out: giving up a waiting request for a cheaper one of the same plan, as long work admitted first would then be starved by short work that came later.

An attempt that was given up while it waited no longer frees a slot that it never held.

--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -1,10 +1,74 @@
 """Admission of work to the slots of an endpoint by its agent."""
 
+import math
+from abc import ABC, abstractmethod
+from bisect import insort
 from collections import deque
+from dataclasses import dataclass, field
 
+from dandelionarch.core.costs import CostModel
 
-class SlotQueue:
-    """Slots of one endpoint with a short first-in first-out queue.
+# A second of waiting outweighs a second of cost, so that long work overtakes short
+# work that came later by more than the difference of their costs.
+AGEING_PER_S = 1.0
+RETRY_AFTER_MIN_S = 0.05
+
+
+class AdmissionQueue(ABC):
+    """Slots of one endpoint and the requests that wait for them.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the endpoint runs at once.
+    """
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.running = 0
+
+    @property
+    @abstractmethod
+    def queued(self):
+        """Return the number of requests that wait."""
+
+    @abstractmethod
+    def offer(self, item, now=0.0, key="", deadline=math.inf, priority=0):
+        """Return "run", "wait" or "refuse" for a new request.
+
+        Parameters
+        ----------
+        item : object
+            The request; hashable.
+        now : float
+            Time in seconds.
+        key : hashable
+            Kind of work, by which its cost is known.
+        deadline : float
+            Time in seconds by which the request must have ended.
+        priority : int
+            Priority of the customer's plan; 0 is refused last.
+        """
+
+    @abstractmethod
+    def withdraw(self, item):
+        """Remove a waiting request; return False if it does not wait."""
+
+    @abstractmethod
+    def finish(self, item=None, now=0.0, answered=True):
+        """Free the slot of a request; return the request that takes it, or None."""
+
+    def take_evicted(self):
+        """Return the waiting requests that were refused since the last call."""
+        return ()
+
+    def retry_after_s(self, now):
+        """Return in how many seconds a refused request is likely to find a slot."""
+        return RETRY_AFTER_MIN_S
+
+
+class SlotQueue(AdmissionQueue):
+    """Short first-in first-out queue, the baseline.
 
     Parameters
     ----------
@@ -15,18 +79,15 @@
     """
 
     def __init__(self, slots, queue_limit):
-        self.slots = slots
+        super().__init__(slots)
         self.queue_limit = queue_limit
-        self.running = 0
         self._queue = deque()
 
     @property
     def queued(self):
-        """Return the number of requests that wait."""
         return len(self._queue)
 
-    def offer(self, item):
-        """Return "run", "wait" or "refuse" for a new request."""
+    def offer(self, item, now=0.0, key="", deadline=math.inf, priority=0):
         if self.running < self.slots:
             self.running += 1
             return "run"
@@ -36,16 +97,221 @@
         return "refuse"
 
     def withdraw(self, item):
-        """Remove a waiting request; return False if it does not wait."""
         try:
             self._queue.remove(item)
         except ValueError:
             return False
         return True
 
-    def finish(self):
-        """Free a slot; return the request that takes it, or None."""
+    def finish(self, item=None, now=0.0, answered=True):
         if self._queue:
             return self._queue.popleft()
         self.running -= 1
         return None
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """A request with what the queue orders it by; seconds throughout."""
+
+    item: object
+    key: object
+    cost_s: float
+    long: bool
+    deadline: float
+    priority: int
+    arrived: float
+    sequence: int
+    started: float = math.nan
+    order: tuple = field(init=False)
+
+    def __post_init__(self):
+        # Ageing lowers every waiting request's cost at one rate, so the order of
+        # two requests never changes and a sorted list holds it.
+        aged = self.cost_s + AGEING_PER_S * self.arrived
+        self.order = (aged, self.deadline, self.sequence)
+
+    def __lt__(self, other):
+        return self.order < other.order
+
+    def remaining_s(self, now):
+        """Return the time that a running request is expected to go on.
+
+        One that runs for longer than expected is assumed to go on for as long as
+        it has overrun.
+        """
+        return abs(self.started + self.cost_s - now)
+
+
+@dataclass(frozen=True, slots=True)
+class QueueRules:
+    """Rules of `CostQueue`; each can be switched off for a measurement."""
+
+    shortest_first: bool = True
+    short_slot: bool = True
+    refuse_late: bool = True
+    priorities: bool = True
+
+
+class CostQueue(AdmissionQueue):
+    """Queue by cost and age that refuses at once what can't end in time.
+
+    A waiting request is given up only for one of a higher plan, so that no request
+    of the same plan is admitted first and refused later.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the endpoint runs at once.
+    costs : CostModel
+        Costs of the service's kinds of work; learns from each run.
+    queue_limit : int
+        Requests that may wait.
+    rules : QueueRules
+    """
+
+    def __init__(self, slots, costs=None, queue_limit=256, rules=None):
+        super().__init__(slots)
+        self.costs = costs or CostModel()
+        self.queue_limit = queue_limit
+        self.rules = rules or QueueRules()
+        self._waiting = []
+        self._by_item = {}
+        self._running = {}
+        self._long_running = 0
+        self._evicted = []
+        self._sequence = 0
+        self._open_to_long = max(1, slots - 1)
+
+    @property
+    def queued(self):
+        return len(self._waiting)
+
+    def offer(self, item, now=0.0, key="", deadline=math.inf, priority=0):
+        job = self._job(item, now, key, deadline, priority)
+        if self._may_start(job):
+            if self.rules.refuse_late and now + job.cost_s > deadline:
+                return "refuse"
+            self._start(job, now)
+            return "run"
+        self._drop_late(now)
+        return "wait" if self._admit(job, now) else "refuse"
+
+    def withdraw(self, item):
+        job = self._by_item.pop(item, None)
+        if job is None:
+            return False
+        self._waiting.remove(job)
+        return True
+
+    def finish(self, item=None, now=0.0, answered=True):
+        job = self._running.pop(item)
+        self.running -= 1
+        self._long_running -= job.long
+        elapsed_s = now - job.started
+        if answered or elapsed_s > job.cost_s:
+            self.costs.observe(job.key, elapsed_s)
+        return self._next(now)
+
+    def take_evicted(self):
+        evicted, self._evicted = self._evicted, []
+        return evicted
+
+    def retry_after_s(self, now):
+        """Return the time in which the work that runs and waits would be done."""
+        work_s = sum(job.cost_s for job in self._waiting)
+        work_s += sum(job.remaining_s(now) for job in self._running.values())
+        return max(RETRY_AFTER_MIN_S, work_s / self.slots)
+
+    def _job(self, item, now, key, deadline, priority):
+        self._sequence += 1
+        by_cost = self.rules.shortest_first
+        cost_s = self.costs.cost(key)
+        long = self.rules.short_slot and self.costs.is_long(key)
+        job = Job(item, key, cost_s, long, deadline, priority, now, self._sequence)
+        if not by_cost:
+            job.order = (now, self._sequence)
+        return job
+
+    def _may_start(self, job):
+        if self.running >= self.slots:
+            return False
+        return not job.long or self._long_running < self._open_to_long
+
+    def _start(self, job, now):
+        job.started = now
+        self._running[job.item] = job
+        self.running += 1
+        self._long_running += job.long
+
+    def _next(self, now):
+        self._drop_late(now)
+        for job in self._waiting:
+            if self._may_start(job):
+                self.withdraw(job.item)
+                self._start(job, now)
+                return job.item
+        return None
+
+    def _drop_late(self, now):
+        if not self.rules.refuse_late:
+            return
+        for job in [j for j in self._waiting if now + j.cost_s > j.deadline]:
+            self.withdraw(job.item)
+            self._evicted.append(job.item)
+
+    def _admit(self, new, now):
+        """Let a request wait if room can be made for it; return True if it waits."""
+        waiting = list(self._waiting)
+        before = self._late(waiting, now)
+        insort(waiting, new)
+        victims = []
+        while (blocked := self._blocked(waiting, before, now)) is not None:
+            victim = self._least(waiting[:blocked], new)
+            if victim is new:
+                return False
+            waiting.remove(victim)
+            victims.append(victim)
+        for job in victims:
+            self.withdraw(job.item)
+            self._evicted.append(job.item)
+        insort(self._waiting, new)
+        self._by_item[new.item] = new
+        return True
+
+    def _blocked(self, waiting, before, now):
+        """Return how many requests compete for too little room, or None."""
+        if len(waiting) > self.queue_limit:
+            return len(waiting)
+        late = self._late(waiting, now) - before
+        if not late:
+            return None
+        return min(waiting.index(job) for job in late) + 1
+
+    def _least(self, jobs, new):
+        """Return the request to give up: of the lowest plan, the new one first."""
+        if not self.rules.priorities:
+            return new
+        return max(jobs, key=lambda j: (j.priority, j is new, j.sequence))
+
+    def _late(self, waiting, now):
+        """Return which of the waiting requests would end after their deadlines."""
+        if not self.rules.refuse_late:
+            return set()
+        running = self._running.values()
+        free = [now] * (self.slots - self.running)
+        free += [now + job.remaining_s(now) for job in running]
+        long_ends = [now + job.remaining_s(now) for job in running if job.long]
+        late = set()
+        for job in waiting:
+            start = min(free)
+            if job.long and len(long_ends) >= self._open_to_long:
+                start = max(start, min(long_ends))
+            end = start + job.cost_s
+            if end > job.deadline:
+                late.add(job)
+                continue
+            free[free.index(max(t for t in free if t <= start))] = end
+            if job.long:
+                long_ends = [t for t in long_ends if t > start] + [end]
+        return late
--- /dev/null
+++ b/dandelionarch/core/costs.py
@@ -0,0 +1,78 @@
+"""Costs of work, learnt from the service times that were measured."""
+
+import math
+from bisect import bisect_left, insort
+from collections import deque
+
+WEIGHT = 0.05
+DEFAULT_COST_S = 0.05
+MEDIAN_WINDOW = 127
+# One straggler may not make its kind of work look many times dearer.
+MAX_DEVIATION = math.log(8)
+LONG_FACTOR = 4.0
+
+
+class CostEstimate:
+    """Exponentially weighted mean and variance of the logarithm of a service time."""
+
+    __slots__ = ("_mean", "_variance")
+
+    def __init__(self, first_s):
+        self._mean = math.log(first_s)
+        self._variance = 0.0
+
+    def observe(self, seconds):
+        """Take note of one service time."""
+        deviation = math.log(seconds) - self._mean
+        deviation = max(-MAX_DEVIATION, min(MAX_DEVIATION, deviation))
+        self._mean += WEIGHT * deviation
+        self._variance = (1 - WEIGHT) * (self._variance + WEIGHT * deviation**2)
+
+    @property
+    def seconds(self):
+        """Return the mean service time of the log-normal distribution that fits."""
+        return math.exp(self._mean + self._variance / 2)
+
+
+class CostModel:
+    """Costs of the kinds of work of one service.
+
+    Parameters
+    ----------
+    default_s : float
+        Cost in seconds of a kind of work before any was measured.
+    """
+
+    def __init__(self, default_s=DEFAULT_COST_S):
+        self._default_s = default_s
+        self._estimates = {}
+        self._recent = deque()
+        self._sorted = []
+
+    def cost(self, key):
+        """Return the expected service time of a kind of work in seconds."""
+        estimate = self._estimates.get(key)
+        return self._default_s if estimate is None else estimate.seconds
+
+    def median(self):
+        """Return the median of the recent service times in seconds, or None."""
+        return self._sorted[len(self._sorted) // 2] if self._sorted else None
+
+    def is_long(self, key):
+        """Return True if the cost is above 4 times the median of the service."""
+        median = self.median()
+        return median is not None and self.cost(key) > LONG_FACTOR * median
+
+    def observe(self, key, seconds):
+        """Take note of the measured service time of one run."""
+        seconds = max(seconds, 1e-6)
+        estimate = self._estimates.get(key)
+        if estimate is None:
+            self._estimates[key] = CostEstimate(seconds)
+        else:
+            estimate.observe(seconds)
+        self._recent.append(seconds)
+        insort(self._sorted, seconds)
+        if len(self._recent) > MEDIAN_WINDOW:
+            oldest = self._recent.popleft()
+            del self._sorted[bisect_left(self._sorted, oldest)]
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from dandelionarch.core.admission import SlotQueue
+from dandelionarch.core.admission import CostQueue
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.world import EndpointState
@@ -18,7 +18,6 @@
 WINDOW_BYTES = 256 << 10
 WORKER_CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 5.0
-QUEUE_PER_SLOT = 2
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -47,7 +46,7 @@
         self.window = WINDOW_BYTES
         self.window_open = asyncio.Event()
         self.started = asyncio.Event()
-        self.admitted = False
+        self.answered = False
         self.task = None
         if head.data or head.last:
             self.body.put_nowait((head.data, head.last))
@@ -79,7 +78,7 @@
 
     def __init__(self, endpoint):
         self.endpoint = endpoint
-        self.queue = SlotQueue(endpoint.slots, endpoint.slots * QUEUE_PER_SLOT)
+        self.queue = CostQueue(endpoint.slots)
 
     def load(self):
         """Return the `LoadReport` that goes with each reply."""
@@ -142,7 +141,10 @@
         reason = self._refusal_reason(local)
         run = Run(link, head)
         if reason is None:
-            verdict = local.queue.offer(run)
+            now = asyncio.get_running_loop().time()
+            deadline = now + head.budget_ms / 1000
+            verdict = local.queue.offer(run, now, head.route, deadline, head.priority)
+            self._refuse_evicted(local)
             reason = Reason.QUEUE_FULL if verdict == "refuse" else None
         if reason is not None:
             self._refuse(run, local, reason)
@@ -163,6 +165,8 @@
 
     def _refuse(self, run, local, reason):
         load = local.load() if local else msgs.LoadReport("", 0, 0, 0, "healthy", 1.0)
+        now = asyncio.get_running_loop().time()
+        retry_after_ms = int(local.queue.retry_after_s(now) * 1000) if local else 0
         event(
             log,
             "placement",
@@ -171,7 +175,13 @@
             verdict="refused",
             reason=reason.value,
         )
-        run.send(msgs.Refusal(run.head.attempt_id, reason.value, 0, load))
+        run.send(msgs.Refusal(run.head.attempt_id, reason.value, retry_after_ms, load))
+
+    def _refuse_evicted(self, local):
+        for run in local.queue.take_evicted():
+            self._refuse(run, local, Reason.QUEUE_FULL)
+            self._runs.pop((run.link, run.head.attempt_id), None)
+            run.task.cancel()
 
     def _on_chunk(self, link, msg):
         run = self._runs.get((link, msg.attempt_id))
@@ -212,11 +222,14 @@
             self._release(run, local)
 
     def _release(self, run, local):
-        if not run.started.is_set() and local.queue.withdraw(run):
+        if not run.started.is_set():
+            local.queue.withdraw(run)
             return
-        following = local.queue.finish()
+        now = asyncio.get_running_loop().time()
+        following = local.queue.finish(run, now, run.answered)
         if following is not None:
             following.started.set()
+        self._refuse_evicted(local)
 
     async def _call(self, run, local, deadline):
         loop = asyncio.get_running_loop()
@@ -286,3 +299,4 @@
             last = resp.content.at_eof()
             await run.take_window(len(data))
             run.send(msgs.ResponseChunk(attempt_id, data, last))
+        run.answered = True
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,177 @@
+"""The agent's queue for the slots of an endpoint."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dandelionarch.core.admission import CostQueue, QueueRules, SlotQueue
+from dandelionarch.core.costs import CostModel
+
+COSTS_S = {"short": 0.01, "long": 0.5}
+EXACT = settings(derandomize=True, deadline=None, max_examples=150)
+
+OFFERS = st.lists(
+    st.tuples(
+        st.floats(0, 0.05),
+        st.sampled_from(["short", "short", "long"]),
+        st.floats(0.005, 3.0),
+        st.integers(0, 3),
+        st.floats(0.5, 4.0),
+    ),
+    max_size=80,
+)
+
+
+def known_costs():
+    """Return a model in which most work is short."""
+    costs = CostModel()
+    for key in ("short",) * 20 + ("long",) + ("short",) * 20:
+        costs.observe(key, COSTS_S[key])
+    return costs
+
+
+class Replay:
+    """Runs offers through a queue and notes each request's verdicts."""
+
+    def __init__(self, queue, offers):
+        self.queue = queue
+        self.verdicts = {}
+        self.admitted = {}
+        self.ends = []
+        self.most_running = 0
+        now = 0.0
+        for item, (gap, key, budget, priority, factor) in enumerate(offers):
+            now += gap
+            self._finish_until(now)
+            verdict = queue.offer(item, now, key, now + budget, priority)
+            self._note(item, verdict, priority)
+            if verdict == "run":
+                self._started(item, now, key, factor)
+            self.admitted[item] = (key, factor)
+            self._take_evicted()
+            assert queue.running <= queue.slots
+        self._finish_until(float("inf"))
+
+    def _started(self, item, now, key, factor):
+        self.ends.append((now + COSTS_S[key] * factor, item))
+        self.most_running = max(self.most_running, len(self.ends))
+
+    def _finish_until(self, limit):
+        while self.ends and min(self.ends)[0] <= limit:
+            end, item = min(self.ends)
+            self.ends.remove((end, item))
+            following = self.queue.finish(item, end)
+            if following is not None:
+                self._note(following, "run", None)
+                self._started(following, end, *self.admitted[following])
+            self._take_evicted()
+
+    def _take_evicted(self):
+        for item in self.queue.take_evicted():
+            self._note(item, "refuse", None)
+
+    def _note(self, item, verdict, _):
+        self.verdicts.setdefault(item, []).append(verdict)
+
+
+class TestCostQueue:
+    """Shortest cost first with ageing; refuses what can't end in time."""
+
+    @EXACT
+    @given(OFFERS, st.integers(1, 4), st.integers(0, 6))
+    def test_one_verdict_and_slots_hold(self, offers, slots, limit):
+        """Guards against a request run twice, lost, or run beyond the slots."""
+        replay = Replay(CostQueue(slots, known_costs(), limit), offers)
+        assert replay.most_running <= slots
+        assert replay.queue.running == replay.queue.queued == 0
+        for verdicts in replay.verdicts.values():
+            assert [v for v in verdicts if v != "wait"] in (["run"], ["refuse"])
+            assert len(verdicts) == len(set(verdicts))
+
+    @EXACT
+    @given(OFFERS, st.integers(1, 4))
+    def test_admitted_work_yields_only_to_a_higher_plan(self, offers, slots):
+        """Guards against refusing work late for other work of its plan.
+
+        Costs are exact and every plan is the same, so no prediction can fail.
+        """
+        exact = [(g, k, b, 0, 1.0) for g, k, b, _, _ in offers]
+        costs = known_costs()
+        costs.observe = lambda key, seconds: None
+        costs.cost = COSTS_S.get
+        replay = Replay(CostQueue(slots, costs), exact)
+        assert ["wait", "refuse"] not in replay.verdicts.values()
+
+    def test_refuses_at_once_what_cannot_end_in_time(self):
+        """Guards against queueing work that would miss its deadline."""
+        queue = CostQueue(1, known_costs())
+        assert queue.offer("a", 0.0, "long", 5.0) == "run"
+        assert queue.offer("b", 0.0, "short", 0.1) == "refuse"
+        assert queue.offer("c", 0.0, "short", 1.0) == "wait"
+        assert queue.retry_after_s(0.0) >= 0.4
+
+    def test_one_slot_stays_closed_to_long_work(self):
+        """Guards short work against slots that are all taken by long work."""
+        queue = CostQueue(2, known_costs())
+        verdicts = [queue.offer(i, 0.0, "long", 9.0) for i in range(2)]
+        assert verdicts == ["run", "wait"]
+        assert queue.offer("s", 0.0, "short", 0.02) == "run"
+        assert queue.finish("s", 0.01) is None
+        assert queue.finish(0, 0.5) == 1
+
+    def test_short_work_overtakes_until_long_work_has_aged(self):
+        """Guards against first-in order and against starvation of long work."""
+        queue = CostQueue(1, known_costs(), rules=QueueRules(refuse_late=False))
+        queue.offer("running", 0.0, "short")
+        queue.offer("long", 0.0, "long")
+        queue.offer("early", 0.3, "short")
+        queue.offer("late", 0.8, "short")
+        order = [queue.finish("running", 0.9)]
+        order += [queue.finish(order[-1], 0.9), queue.finish("long", 1.4)]
+        assert order == ["early", "long", "late"]
+
+    def test_long_work_is_not_starved_by_short_overload(self):
+        """Guards the share of long work while short work alone fills the slots."""
+        rng = random.Random(1)
+        offers = []
+        for _ in range(3000):
+            key = "long" if rng.random() < 0.01 else "short"
+            budget = 3.0 if key == "long" else 0.3
+            offers.append((rng.expovariate(300), key, budget, 0, 1.0))
+        replay = Replay(CostQueue(2, known_costs()), offers)
+        long = [i for i, offer in enumerate(offers) if offer[1] == "long"]
+        ran = [i for i in long if "run" in replay.verdicts[i]]
+        assert len(ran) >= len(long) * 0.5
+
+    def test_higher_plan_takes_the_place_of_a_lower_one(self):
+        """Guards the order of plans under shortage."""
+        queue = CostQueue(1, known_costs(), queue_limit=1)
+        queue.offer("running", 0.0, "short", 9.0, 5)
+        assert queue.offer("low", 0.0, "short", 9.0, 5) == "wait"
+        assert queue.offer("same", 0.0, "short", 9.0, 5) == "refuse"
+        assert queue.offer("high", 0.0, "short", 9.0, 0) == "wait"
+        assert queue.take_evicted() == ["low"]
+
+
+class TestSlotQueue:
+    """The first-in first-out baseline."""
+
+    @EXACT
+    @given(OFFERS, st.integers(1, 4), st.integers(0, 6))
+    def test_one_verdict_and_slots_hold(self, offers, slots, limit):
+        """Guards the baseline against running beyond the slots."""
+        replay = Replay(SlotQueue(slots, limit), offers)
+        assert replay.most_running <= slots
+        assert all(len(set(v)) == len(v) for v in replay.verdicts.values())
+
+
+class TestCostModel:
+    """Costs learnt from service times."""
+
+    def test_straggler_does_not_make_its_kind_long(self):
+        """Guards short work against exclusion after one slow run."""
+        costs = known_costs()
+        costs.observe("short", 3.0)
+        assert not costs.is_long("short")
+        assert costs.is_long("long")
