Add a virtual-clock model for the measurements

Several copies of the decision core run against fake workers and links: ingresses use core/ingress.py and core/selection.py, agents the queue of core/admission.py, arrivals are open-loop. Workers have stragglers, cold starts, wrong load reports and gray failures; links have delays and one-way cuts. A run is a function of its Options.

The interface is ready for other measurements: Options takes the policy, selection, agent queue, limits (admit), retry budget, detector and ingress-side filter as arguments.

--- /dev/null
+++ b/dandelionarch/measure/model.py
@@ -0,0 +1,364 @@
+"""Several copies of the decision core on one virtual clock, with fake workers.
+
+Every daemon of the model has one ingress, one agent and one worker. A run is a
+function of its `Options`, whose seed feeds every source of randomness.
+"""
+
+import itertools
+import random
+
+from dandelionarch.core import selection
+from dandelionarch.core.ingress import Deliver, Dispatch, RequestLife, Work
+from dandelionarch.core.messages.request import LoadReport
+from dandelionarch.core.outcome import Outcome, Reason
+from dandelionarch.core.timer import TimerService
+from dandelionarch.core.world import Endpoint, Health, Vm
+from dandelionarch.measure.options import Attempt, Result
+from dandelionarch.measure.workers import Worker
+
+SAME_VM_S = 0.00005
+BETWEEN_DATA_CENTRES_S = 0.0005
+FROM_CALLERS_S = 0.008
+SILENCE_S = 1.5
+REDIAL_S = 1.0
+
+
+class Network:
+    """Links with delays and one-way cuts.
+
+    `cuts` holds (sender, receiver) pairs of VM ids whose messages are lost;
+    `extra_s` holds added delays in seconds by the same pairs.
+    """
+
+    def __init__(self, timers):
+        self.cuts = set()
+        self.extra_s = {}
+        self._timers = timers
+
+    def send(self, sender, receiver, callback, *args):
+        """Call `callback(*args)` at the receiver after the delay, unless cut."""
+        pair = (sender, receiver)
+        if pair in self.cuts:
+            return
+        delay_s = SAME_VM_S if sender == receiver else BETWEEN_DATA_CENTRES_S
+        delay_s += self.extra_s.get(pair, 0.0)
+        self._timers.subscribe(delay_s, lambda: callback(*args))
+
+    def works(self, one, two):
+        """Return True if messages pass in both directions."""
+        return (one, two) not in self.cuts and (two, one) not in self.cuts
+
+
+class Agent:
+    """Owns the slots of one worker."""
+
+    def __init__(self, model, vm, endpoint, worker, options):
+        self.model = model
+        self.vm_id = vm.vm_id
+        self.endpoint = endpoint
+        self.worker = worker
+        self.queue = options.make_queue(worker)
+        self.starts = []
+        self.detector = options.make_detector(self)
+
+    def load(self):
+        """Return the `LoadReport` attached to each reply."""
+        worker, queue = self.worker, self.queue
+        return LoadReport(
+            self.endpoint.endpoint_id,
+            int(queue.running * worker.misreport),
+            int(queue.queued * worker.misreport),
+            worker.slots,
+            self.detector.health.value,
+            worker.warmup(self.model.timers.now()),
+        )
+
+    def on_head(self, attempt):
+        """Refuse an attempt, let it wait or run it."""
+        now = self.model.timers.now()
+        attempt.arrived_s = now
+        reason = self.detector.refusal(attempt, now)
+        if reason is not None:
+            self._reply(attempt, reason, refused=True)
+            return
+        verdict = self.queue.offer(attempt)
+        if verdict == "refuse":
+            self._reply(attempt, Reason.QUEUE_FULL, refused=True)
+        elif verdict == "run":
+            self._start(attempt)
+        else:
+            attempt.timer = self.model.timers.subscribe(
+                max(0.0, attempt.deadline - now), lambda: self._too_late(attempt)
+            )
+
+    def on_cancel(self, attempt):
+        """Stop an attempt that its ingress has given up."""
+        if attempt.ended:
+            return
+        if attempt.started_s is None:
+            attempt.timer.cancel()
+            self.queue.withdraw(attempt)
+            attempt.ended = True
+        else:
+            self._finish(attempt, Reason.CANCELLED)
+
+    def _too_late(self, attempt):
+        self.queue.withdraw(attempt)
+        self._reply(attempt, Reason.TOO_LATE, refused=True)
+
+    def _start(self, attempt):
+        now = self.model.timers.now()
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        attempt.started_s = now
+        self.starts.append(now)
+        self.detector.started(attempt, now)
+        service_s, ok = self.worker.run(attempt.kind, now)
+        left_s = max(0.0, attempt.deadline - now)
+        reason = None if ok else Reason.WORKER_FAILED
+        if service_s > left_s:
+            service_s, reason = left_s, Reason.DEADLINE
+        attempt.timer = self.model.timers.subscribe(
+            service_s, lambda: self._finish(attempt, reason)
+        )
+
+    def _finish(self, attempt, reason):
+        now = self.model.timers.now()
+        attempt.timer.cancel()
+        if reason is not Reason.CANCELLED:
+            service_s = now - attempt.started_s
+            self.detector.finished(attempt, service_s, reason is None, now)
+            self._reply(attempt, reason, refused=False)
+        attempt.ended = True
+        following = self.queue.finish()
+        if following is not None:
+            self._start(following)
+
+    def _reply(self, attempt, reason, refused):
+        attempt.ended = True
+        ingress = attempt.ingress
+        self.model.network.send(
+            self.vm_id,
+            ingress.vm_id,
+            ingress.on_reply,
+            attempt,
+            reason,
+            refused,
+            self.load(),
+        )
+
+
+class Ingress:
+    """Drives requests through the decision core of one daemon."""
+
+    def __init__(self, model, vm, options, rng):
+        self.model = model
+        self.vm_id = vm.vm_id
+        self.rng = rng
+        self.policy = options.make_policy()
+        self.filter = options.make_filter()
+        self.retries = options.make_retries()
+        self.in_flight = {}
+        self.loads = {}
+        self.down = set()
+        self.attempts = set()
+
+    def arrive(self, kind):
+        """Start one request of a caller."""
+        model, now = self.model, self.model.timers.now()
+        work = Work(
+            f"r{next(model.request_ids)}",
+            model.options.make_customer(self.rng),
+            "service",
+            kind.name,
+            kind.name,
+            kind.idempotent,
+            kind.priority,
+        )
+        deadline = now + kind.budget_s
+        life = RequestLife(
+            work,
+            self._choose,
+            deadline,
+            self.rng,
+            lambda: self.retries.may_retry(model.timers.now()),
+        )
+        reason = model.options.admit(self, work, now)
+        if reason is not None:
+            self._record(kind, work, now, life, Outcome.NOT_RUN, reason, "")
+            return
+        self.retries.first(now)
+        self._follow(life.start(now), life, kind, now)
+
+    def on_reply(self, attempt, reason, refused, load):
+        """Take note of the load and end the attempt."""
+        now = self.model.timers.now()
+        self.loads[load.endpoint_id] = (now, load)
+        self._end(attempt, reason, refused)
+
+    def _choose(self, service, tried):
+        now = self.model.timers.now()
+        candidates = []
+        for agent in self.model.agents:
+            endpoint_id = agent.endpoint.endpoint_id
+            if not self.filter.keeps(endpoint_id, now):
+                continue
+            cand = selection.Candidate(agent.endpoint, agent.model.vms[agent.vm_id])
+            cand.link_up = agent.vm_id not in self.down
+            cand.in_flight = self.in_flight.get(endpoint_id, 0)
+            if endpoint_id in self.loads:
+                told_s, load = self.loads[endpoint_id]
+                self._add_report(cand, load, now - told_s)
+            candidates.append(cand)
+        options = self.model.options
+        return options.select(candidates, self.policy, self.rng, tried)
+
+    def _add_report(self, cand, load, age_s):
+        cand.warmup = load.warmup
+        cand.health = Health(load.health)
+        cand.reported = max(0, load.running + load.queued - cand.in_flight)
+
+    def _follow(self, command, life, kind, began_s):
+        if isinstance(command, Dispatch):
+            self._dispatch(command, life, kind, began_s)
+            return
+        endpoint_id = getattr(life, "endpoint_id", "")
+        if isinstance(command, Deliver):
+            outcome, reason = Outcome.ANSWER, None
+        else:
+            outcome, reason = command.outcome, command.reason
+        self._record(kind, life.work, began_s, life, outcome, reason, endpoint_id)
+
+    def _dispatch(self, command, life, kind, began_s):
+        model = self.model
+        agent = model.agent_of[command.endpoint.endpoint_id]
+        life.endpoint_id = command.endpoint.endpoint_id
+
+        def on_end(reason, refused):
+            now = model.timers.now()
+            if reason is None:
+                following = life.answered()
+            elif refused:
+                following = life.not_run(reason, now)
+            elif reason is Reason.DEADLINE:
+                following = life.expired()
+            else:
+                following = life.failed(reason, now)
+            self._follow(following, life, kind, began_s)
+
+        attempt = Attempt(life.work, kind, life.deadline, self, agent, on_end)
+        self.attempts.add(id(attempt))
+        endpoint_id = agent.endpoint.endpoint_id
+        self.in_flight[endpoint_id] = self.in_flight.get(endpoint_id, 0) + 1
+        model.network.send(self.vm_id, agent.vm_id, agent.on_head, attempt)
+        self._guard(attempt, model.timers.now())
+
+    def _guard(self, attempt, now):
+        """End the attempt at its deadline, or when its link falls silent."""
+        timers, agent = self.model.timers, attempt.agent
+
+        def silent():
+            if id(attempt) in self.attempts and not self.model.network.works(
+                self.vm_id, agent.vm_id
+            ):
+                self._link_down(agent.vm_id)
+                self._end(attempt, Reason.LINK_LOST, refused=False)
+
+        def expired():
+            if id(attempt) in self.attempts:
+                self.model.network.send(
+                    self.vm_id, agent.vm_id, agent.on_cancel, attempt
+                )
+                self._end(attempt, Reason.DEADLINE, refused=False)
+
+        timers.subscribe(SILENCE_S, silent)
+        timers.subscribe(attempt.deadline - now + BETWEEN_DATA_CENTRES_S, expired)
+
+    def _link_down(self, vm_id):
+        if vm_id in self.down:
+            return
+        self.down.add(vm_id)
+        self.model.timers.subscribe(REDIAL_S, lambda: self._redial(vm_id))
+
+    def _redial(self, vm_id):
+        if self.model.network.works(self.vm_id, vm_id):
+            self.down.discard(vm_id)
+        else:
+            self.model.timers.subscribe(REDIAL_S, lambda: self._redial(vm_id))
+
+    def _end(self, attempt, reason, refused):
+        if id(attempt) not in self.attempts:
+            return
+        self.attempts.discard(id(attempt))
+        endpoint_id = attempt.agent.endpoint.endpoint_id
+        self.in_flight[endpoint_id] -= 1
+        self.filter.ended(endpoint_id, reason, self.model.timers.now())
+        attempt.on_end(reason, refused)
+
+    def _record(self, kind, work, began_s, life, outcome, reason, endpoint_id):
+        latency_s = self.model.timers.now() - began_s + 2 * FROM_CALLERS_S
+        self.model.results.append(
+            Result(
+                kind.name,
+                work.customer,
+                began_s,
+                latency_s,
+                outcome,
+                reason,
+                life.attempts,
+                endpoint_id,
+            )
+        )
+
+
+class Model:
+    """One service of several daemons, driven by open-loop arrivals."""
+
+    def __init__(self, options):
+        self.options = options
+        self.timers = TimerService()
+        self.network = Network(self.timers)
+        self.rng = random.Random(options.seed)
+        self.request_ids = itertools.count(1)
+        self.results = []
+        self.vms, self.agents, self.ingresses = {}, [], []
+        for number in range(options.workers):
+            self._add_daemon(number)
+        self.agent_of = {a.endpoint.endpoint_id: a for a in self.agents}
+
+    def _add_daemon(self, number):
+        options, seed = self.options, self.options.seed
+        data_centre = f"dc-{number % options.data_centres}"
+        vm = Vm(f"vm-{number}", data_centre, "region", "", 0, 0, 0, 0, 1)
+        endpoint = Endpoint(
+            f"w-{number}", vm.vm_id, "service", "", 0, options.slots, 330, 1
+        )
+        self.vms[vm.vm_id] = vm
+        worker = Worker(
+            endpoint.endpoint_id,
+            options.slots,
+            random.Random(f"{seed}/worker/{number}"),
+            **options.worker_options,
+        )
+        self.agents.append(Agent(self, vm, endpoint, worker, options))
+        rng = random.Random(f"{seed}/ingress/{number}")
+        self.ingresses.append(Ingress(self, vm, options, rng))
+
+    def run(self, until_s):
+        """Let requests arrive and the clock advance; return the results."""
+        self._next_arrival()
+        self.timers.advance(until_s)
+        return self.results
+
+    def _next_arrival(self):
+        """Draw arrivals at the peak rate and keep those that the rate allows."""
+        rate = self.options.rate
+        self.timers.subscribe(self.rng.expovariate(rate.peak), self._arrival)
+
+    def _arrival(self):
+        rate, rng = self.options.rate, self.rng
+        if rng.random() * rate.peak < rate(self.timers.now()):
+            kinds = self.options.kinds
+            kind = rng.choices(kinds, [k.share for k in kinds])[0]
+            rng.choice(self.ingresses).arrive(kind)
+        self._next_arrival()
--- /dev/null
+++ b/dandelionarch/measure/options.py
@@ -0,0 +1,134 @@
+"""Options of a model run: what can be exchanged for another part."""
+
+import math
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dandelionarch.core import selection
+from dandelionarch.core.admission import SlotQueue
+from dandelionarch.core.ingress import Work
+from dandelionarch.core.outcome import Outcome, Reason
+from dandelionarch.core.world import Health
+from dandelionarch.measure.workers import Kind
+
+QUEUE_PER_SLOT = 2
+
+
+def crest(base, factor, start_s, ramp_s=2.0, lasts_s=math.inf):
+    """Return a rate (requests/s) that rises by `factor` within `ramp_s` seconds."""
+
+    def rate(now):
+        if not start_s <= now < start_s + lasts_s:
+            return base
+        return base * (1 + (factor - 1) * min(1.0, (now - start_s) / ramp_s))
+
+    rate.peak = base * factor
+    return rate
+
+
+def steady(base):
+    """Return a constant rate (requests/s)."""
+    return crest(base, 1.0, 0.0)
+
+
+class NoDetector:
+    """Judges nothing; the base of the detectors that an agent can be given.
+
+    `agent.model.timers` is the clock, `agent.model.network.send` reaches the
+    other agents, `agent.model.agents` lists them.
+    """
+
+    health = Health.HEALTHY
+
+    def __init__(self, agent):
+        self.agent = agent
+
+    def refusal(self, attempt, now):
+        """Return a `Reason` to refuse an attempt at its arrival, or None."""
+        return None
+
+    def started(self, attempt, now):
+        """Take note of an attempt that got a slot."""
+
+    def finished(self, attempt, service_s, ok, now):
+        """Take note of an attempt that left its slot; `service_s` has no queueing."""
+
+
+class OpenFilter:
+    """Judges nothing at an ingress; base of ingress-side ejection baselines."""
+
+    def keeps(self, endpoint_id, now):
+        """Return True if the ingress may choose the endpoint."""
+        return True
+
+    def ended(self, endpoint_id, reason, now):
+        """Take note of an attempt's end; `reason` is None for an answer."""
+
+
+class FreeRetries:
+    """Retries without a budget; `first` is called per request."""
+
+    def first(self, now):
+        """Take note of a first attempt."""
+
+    def may_retry(self, now):
+        """Return True if a further attempt is allowed."""
+        return True
+
+
+@dataclass
+class Options:
+    """One run of the model; all `make_...` are called once per owner.
+
+    `make_queue(worker)` has the interface of `SlotQueue`, with the `Attempt` as
+    item; `admit(ingress, work, now)` returns a `Reason` to refuse, or None.
+    `select` has the signature of `core.selection.select`.
+    """
+
+    workers: int = 8
+    slots: int = 3
+    data_centres: int = 4
+    kinds: tuple = (Kind("default", 0.1),)
+    rate: Callable = steady(100.0)
+    seed: int = 1
+    select: Callable = selection.select
+    make_policy: Callable = selection.TwoChoices
+    make_queue: Callable = lambda worker: SlotQueue(
+        worker.slots, worker.slots * QUEUE_PER_SLOT
+    )
+    make_detector: Callable = NoDetector
+    make_filter: Callable = OpenFilter
+    make_retries: Callable = FreeRetries
+    admit: Callable = lambda ingress, work, now: None
+    make_customer: Callable = lambda rng: "customer"
+    worker_options: dict = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt of a request, known to its ingress and its agent."""
+
+    work: Work
+    kind: Kind
+    deadline: float
+    ingress: object
+    agent: object
+    on_end: Callable
+    arrived_s: float = 0.0
+    started_s: float | None = None
+    ended: bool = False
+    timer: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """What the caller of one request saw."""
+
+    kind: str
+    customer: str
+    started_s: float
+    latency_s: float
+    outcome: Outcome
+    reason: Reason | None
+    attempts: int
+    endpoint_id: str
