Choose endpoints by own work and aged reports

The choice counted only the requests of its own ingress and ignored data centres, full endpoints and reports. A report now moves towards the mean of all reports as it ages; moving it towards zero was ruled out, as the endpoint that was not heard of for longest would then look idle and get all work. The own data centre is preferred until its load per slot exceeds the others' by 0.25. Full endpoints are dropped only while another has a free slot. Agents report a warm-up ramp from the incarnation's start time. Random, round robin and plain two choices are kept as baselines. The model passes the same facts on.

--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -4,23 +4,53 @@
 decision log line.
 """
 
+import math
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
 from dandelionarch.core.world import EndpointState, Health, VmState
 
+# A report says little about the load after this time: most work has changed.
+REPORT_AGE_S = 0.5
+FRESH_REPORT_S = 0.1
+# Work per slot by which the own data centre may exceed the others before they
+# share its work; the way there costs 0.5 ms, far less than waiting for a slot.
+NEAR_MARGIN = 0.25
+WARM_UP_S = 10.0
+COLD_SHARE = 1 / 3
+
+
+def warmup_ramp(age_s):
+    """Return the share of its slots that an endpoint of this age can use."""
+    return min(1.0, COLD_SHARE + (1 - COLD_SHARE) * max(0.0, age_s) / WARM_UP_S)
+
 
 @dataclass(slots=True)
 class Candidate:
-    """An endpoint with what the ingress knows of it now."""
+    """An endpoint with what the ingress knows of it now.
+
+    `in_flight` counts this ingress's own requests; `reported` those of others, as
+    the endpoint's agent told `age_s` seconds ago; `near` says that the endpoint is
+    in the ingress's data centre.
+    """
 
     endpoint: object
     vm: object
     link_up: bool = True
     in_flight: int = 0
-    reported: int = 0
+    reported: float = 0
     warmup: float = 1.0
     health: Health = Health.HEALTHY
+    age_s: float = math.inf
+    near: bool = True
+
+    @property
+    def full(self):
+        """Return True if all slots are known to be taken."""
+        known = self.in_flight
+        if self.age_s <= FRESH_REPORT_S:
+            known += self.reported
+        return known >= self.endpoint.slots
 
     @property
     def load(self):
@@ -78,6 +108,48 @@
             yield cand
 
 
+def age_reports(candidates):
+    """Move each reported load towards the mean of all as it ages.
+
+    Towards zero would send work to whatever was not heard of for longest.
+    """
+    heard = [c for c in candidates if c.age_s < math.inf]
+    if not heard:
+        return
+    mean = sum(c.reported for c in heard) / len(heard)
+    for cand in candidates:
+        weight = math.exp(-cand.age_s / REPORT_AGE_S)
+        cand.reported = mean + weight * (cand.reported - mean)
+
+
+def not_full(candidates, drops):
+    """Keep endpoints with a free slot as far as known, or all if there is none."""
+    kept = list(candidates)
+    free = any(not cand.full for cand in kept)
+    for cand in kept:
+        if free and cand.full:
+            drops.append(Drop(cand.endpoint.endpoint_id, "not_full", "slots taken"))
+        else:
+            yield cand
+
+
+def near_first(candidates, drops):
+    """Keep the own data centre until its load exceeds the others' by the margin."""
+    kept = list(candidates)
+    near = [c.load for c in kept if c.near]
+    far = [c.load for c in kept if not c.near]
+    stay = near and far and _mean(near) <= _mean(far) + NEAR_MARGIN
+    for cand in kept:
+        if stay and not cand.near:
+            drops.append(Drop(cand.endpoint.endpoint_id, "near_first", "farther"))
+        else:
+            yield cand
+
+
+def _mean(values):
+    return sum(values) / len(values)
+
+
 class Policy(ABC):
     """A way to choose among candidates that may take the request."""
 
@@ -86,8 +158,35 @@
         """Return one of the candidates, a non-empty list."""
 
 
+class RandomChoice(Policy):
+    """Any candidate; a baseline."""
+
+    def choose(self, candidates, rng):
+        return rng.choice(candidates)
+
+
+class RoundRobin(Policy):
+    """The candidates in turn; a baseline."""
+
+    def __init__(self):
+        self._turn = 0
+
+    def choose(self, candidates, rng):
+        self._turn += 1
+        return candidates[self._turn % len(candidates)]
+
+
+class PlainTwoChoices(Policy):
+    """The one of two random candidates with fewer own requests; a baseline."""
+
+    def choose(self, candidates, rng):
+        if len(candidates) == 1:
+            return candidates[0]
+        return min(rng.sample(candidates, 2), key=lambda c: c.in_flight)
+
+
 class TwoChoices(Policy):
-    """The less loaded of two random candidates."""
+    """The less loaded of two random candidates, by own work and by reports."""
 
     def choose(self, candidates, rng):
         if len(candidates) == 1:
@@ -102,7 +201,10 @@
     decision.candidates = [c.endpoint.endpoint_id for c in candidates]
     stream = serving(candidates, decision.drops)
     stream = reachable(stream, decision.drops)
-    stream = not_tried(stream, decision.drops, tried)
+    stream = list(not_tried(stream, decision.drops, tried))
+    age_reports(stream)
+    stream = not_full(stream, decision.drops)
+    stream = near_first(stream, decision.drops)
     kept = list(stream)
     if kept:
         decision.chosen = policy.choose(kept, rng)
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import logging
+import time
 
 import aiohttp
 
 from dandelionarch.core.admission import CostQueue
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
+from dandelionarch.core.selection import warmup_ramp
 from dandelionarch.core.world import EndpointState
 from dandelionarch.logs import event
 
@@ -88,7 +90,7 @@
             self.queue.queued,
             self.endpoint.slots,
             self.endpoint.health.value,
-            1.0,
+            warmup_ramp(time.time() - self.endpoint.incarnation / 1000),
         )
 
 
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -124,17 +124,27 @@
 
     def _choose(self, service, tried):
         candidates = []
+        own = self._directory.vms.get(self._network.vm_id)
         for endpoint in self._directory.endpoints_of(service):
             vm = self._directory.vms.get(endpoint.vm_id)
             cand = Candidate(endpoint, vm)
             cand.in_flight = self._in_flight.get(endpoint.endpoint_id, 0)
-            load = self._loads.get(endpoint.endpoint_id)
-            if load is not None:
-                cand.warmup = load.warmup
-                cand.health = Health(load.health)
+            if own is not None and vm is not None:
+                cand.near = vm.data_centre == own.data_centre
+            self._add_report(cand)
             candidates.append(cand)
         return select(candidates, self._policy, self._rng, tried)
 
+    def _add_report(self, cand):
+        told = self._loads.get(cand.endpoint.endpoint_id)
+        if told is None:
+            return
+        told_s, load, others = told
+        cand.age_s = asyncio.get_running_loop().time() - told_s
+        cand.reported = others
+        cand.warmup = load.warmup
+        cand.health = Health(load.health)
+
     async def _attempt(self, life, work, req, command):
         loop = asyncio.get_running_loop()
         endpoint = command.endpoint
@@ -241,7 +251,10 @@
             return
         load = getattr(msg, "load", None)
         if load is not None and load.endpoint_id:
-            self._loads[load.endpoint_id] = load
+            own = self._in_flight.get(load.endpoint_id, 0)
+            others = max(0, load.running + load.queued - own)
+            now = asyncio.get_running_loop().time()
+            self._loads[load.endpoint_id] = (now, load, others)
         stream.mailbox.put_nowait(msg)
 
     def _on_credit(self, link, msg, agent):
--- a/dandelionarch/measure/model.py
+++ b/dandelionarch/measure/model.py
@@ -81,7 +81,11 @@
         if reason is not None:
             self._reply(attempt, reason, refused=True)
             return
-        verdict = self.queue.offer(attempt)
+        work = attempt.work
+        verdict = self.queue.offer(
+            attempt, now, work.route, attempt.deadline, work.priority
+        )
+        self._refuse_evicted()
         if verdict == "refuse":
             self._reply(attempt, Reason.QUEUE_FULL, refused=True)
         elif verdict == "run":
@@ -130,9 +134,15 @@
             self.detector.finished(attempt, service_s, reason is None, now)
             self._reply(attempt, reason, refused=False)
         attempt.ended = True
-        following = self.queue.finish()
+        following = self.queue.finish(attempt, now, reason is None)
         if following is not None:
             self._start(following)
+        self._refuse_evicted()
+
+    def _refuse_evicted(self):
+        for attempt in self.queue.take_evicted():
+            attempt.timer.cancel()
+            self._reply(attempt, Reason.QUEUE_FULL, refused=True)
 
     def _reply(self, attempt, reason, refused):
         attempt.ended = True
@@ -154,6 +164,7 @@
     def __init__(self, model, vm, options, rng):
         self.model = model
         self.vm_id = vm.vm_id
+        self.data_centre = vm.data_centre
         self.rng = rng
         self.policy = options.make_policy()
         self.filter = options.make_filter()
@@ -193,7 +204,8 @@
     def on_reply(self, attempt, reason, refused, load):
         """Take note of the load and end the attempt."""
         now = self.model.timers.now()
-        self.loads[load.endpoint_id] = (now, load)
+        others = load.running + load.queued - self.in_flight.get(load.endpoint_id, 0)
+        self.loads[load.endpoint_id] = (now, load, max(0, others))
         self._end(attempt, reason, refused)
 
     def _choose(self, service, tried):
@@ -203,20 +215,22 @@
             endpoint_id = agent.endpoint.endpoint_id
             if not self.filter.keeps(endpoint_id, now):
                 continue
-            cand = selection.Candidate(agent.endpoint, agent.model.vms[agent.vm_id])
+            vm = self.model.vms[agent.vm_id]
+            cand = selection.Candidate(agent.endpoint, vm)
+            cand.near = vm.data_centre == self.data_centre
             cand.link_up = agent.vm_id not in self.down
             cand.in_flight = self.in_flight.get(endpoint_id, 0)
             if endpoint_id in self.loads:
-                told_s, load = self.loads[endpoint_id]
-                self._add_report(cand, load, now - told_s)
+                self._add_report(cand, now, *self.loads[endpoint_id])
             candidates.append(cand)
         options = self.model.options
         return options.select(candidates, self.policy, self.rng, tried)
 
-    def _add_report(self, cand, load, age_s):
+    def _add_report(self, cand, now, told_s, load, others):
+        cand.age_s = now - told_s
         cand.warmup = load.warmup
         cand.health = Health(load.health)
-        cand.reported = max(0, load.running + load.queued - cand.in_flight)
+        cand.reported = others
 
     def _follow(self, command, life, kind, began_s):
         if isinstance(command, Dispatch):
--- /dev/null
+++ b/tests/test_selection.py
@@ -0,0 +1,81 @@
+"""Choice of an endpoint."""
+
+import random
+from collections import Counter
+
+from dandelionarch.core.selection import Candidate, TwoChoices, select
+from dandelionarch.core.world import Endpoint, Vm
+
+
+def candidate(name, data_centre="a", **known):
+    """Return a candidate in data centre a or b, seen from a."""
+    vm = Vm(f"vm-{name}", data_centre, "r", "", 0, 0, 0, 0, 1)
+    endpoint = Endpoint(name, vm.vm_id, "s", "", 0, 3, 330, 1)
+    return Candidate(endpoint, vm, near=data_centre == "a", **known)
+
+
+def counts(make, draws=300):
+    """Return how often each endpoint is chosen."""
+    rng = random.Random(3)
+    chosen = Counter()
+    for _ in range(draws):
+        decision = select(make(), TwoChoices(), rng)
+        chosen[decision.chosen.endpoint.endpoint_id] += 1
+    return chosen
+
+
+class TestSelect:
+    """Stages note their drops; two choices by own work and reports."""
+
+    def test_reported_load_steers_choice_until_it_ages(self):
+        """Guards against ignoring reports, and against trusting old ones."""
+
+        def heard(age_s):
+            return lambda: [
+                candidate("busy", reported=2, age_s=age_s),
+                candidate("idle", reported=0, age_s=age_s),
+            ]
+
+        assert counts(heard(0.01))["busy"] == 0
+        assert 100 < counts(heard(60.0))["busy"] < 200
+
+    def test_unheard_endpoint_counts_as_average(self):
+        """Guards against sending all work to what was not heard of for longest."""
+        chosen = counts(
+            lambda: [
+                candidate("idle", reported=0, age_s=0.01),
+                candidate("busy", reported=2, age_s=0.01),
+                candidate("unheard"),
+            ]
+        )
+        assert chosen["idle"] > chosen["unheard"] > chosen["busy"]
+
+    def test_full_endpoint_is_dropped_while_another_has_a_slot(self):
+        """Guards against queueing beside free slots."""
+        full = candidate("full", in_flight=3)
+        free = candidate("free", "b", in_flight=2)
+        decision = select([full, free], TwoChoices(), random.Random(1))
+        assert decision.chosen is free
+        assert [(d.endpoint_id, d.stage) for d in decision.drops] == [
+            ("full", "not_full")
+        ]
+        assert select([full], TwoChoices(), random.Random(1)).chosen is full
+
+    def test_own_data_centre_is_left_when_it_is_busier(self):
+        """Guards the preference for near endpoints and its margin."""
+
+        def busy(in_flight):
+            return lambda: [candidate("near", in_flight=in_flight), candidate("f", "b")]
+
+        assert counts(busy(0))["f"] == 0
+        assert counts(busy(2))["f"] > 250
+
+    def test_cold_endpoint_gets_less(self):
+        """Guards the warm-up ramp."""
+        chosen = counts(
+            lambda: [
+                candidate("cold", in_flight=1, warmup=1 / 3),
+                candidate("warm", in_flight=2),
+            ]
+        )
+        assert chosen["cold"] == 0
