Follow streams through a generic service

Every reader needs the same rules for parts, repeated ids, offsets that never go back and checkpoints, so the follower of the configuration stream becomes StreamCopy (no I/O) and StreamService (reads the log directly). Entries carry an id, a part number and a digest of the whole payload: parts of two payloads under one id can't be mixed. A checkpoint whose remainder was truncated is passed over.

--- a/dandelionarch/core/config.py
+++ b/dandelionarch/core/config.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from dandelionarch.core.lists import Lists, parse_lists
+from dandelionarch.core.streams import Fold
 from dandelionarch.errors import ListError
 from dandelionarch.ids import RecordId, Revision
 
@@ -66,3 +67,39 @@
             return Verdict.REFUSED
         self.revision = Revision(self.revision + 1)
         return Verdict.ACCEPTED
+
+
+class ConfigFold(Fold):
+    """The accepted configuration as a fold of the configuration stream."""
+
+    stream = CONFIG_STREAM
+
+    def __init__(self):
+        self.state = ConfigState()
+        self._last = None
+
+    def apply(self, record):
+        """Fold one publication and return its `Verdict`, or None if unreadable."""
+        try:
+            pub = Publication.from_bytes(record.data)
+        except (ValueError, TypeError):
+            return None
+        verdict = self.state.apply(pub)
+        if verdict is Verdict.ACCEPTED:
+            self._last = pub
+        return verdict
+
+    def snapshot(self):
+        """Return the last accepted publication and its revision."""
+        last = self._last
+        lists = [last.plans, last.allowances] if last else None
+        return json.dumps([self.state.revision, lists]).encode()
+
+    def restore(self, data):
+        """Replace the state by a snapshot's."""
+        revision, lists = json.loads(data)
+        state = ConfigState(Revision(revision))
+        if lists:
+            state.lists = parse_lists(*lists)
+            self._last = Publication(RecordId(""), Revision(0), "", *lists)
+        self.state = state
--- /dev/null
+++ b/dandelionarch/core/copy.py
@@ -0,0 +1,215 @@
+"""One daemon's copy of a stream: entries in, fold results out, in log order."""
+
+import base64
+import json
+import struct
+import zlib
+from collections import deque
+
+from dandelionarch.core.parts import Assembler, EntryKind, parse_part
+from dandelionarch.core.streams import Record
+from dandelionarch.errors import EntryError, SnapshotError
+from dandelionarch.ids import Offset, RecordId
+
+# At 20 appends/s the ids reach back about 7 minutes, longer than any repeat.
+SEEN_IDS = 8192
+RECENT_BYTES = 1 << 20
+RECENT_ENTRIES = 2048
+REPLY_BYTES = 384 << 10
+MAX_SNAPSHOT_BYTES = 256 << 20
+SNAPSHOT_HEAD = struct.Struct("!I")
+COMPRESSION_LEVEL = 1
+
+
+class StreamCopy:
+    """State folded from a prefix of a stream, with its most recent entries.
+
+    Attributes
+    ----------
+    next : int
+        Offset of the next entry to fold; it never decreases.
+    checkpoint_time_s, checkpoint_offset : float, int
+        Place of the last checkpoint (or of the first entry) seen in the log.
+    """
+
+    def __init__(self, fold):
+        self.fold = fold
+        self.next = Offset(0)
+        self.checkpoint_time_s = None
+        self.checkpoint_offset = 0
+        self._first = None
+        self._scan = None
+        self._scanned = Assembler()
+        self._seen = {}
+        self._assembler = Assembler()
+        self._recent = deque()
+        self._recent_bytes = 0
+
+    @property
+    def searching(self):
+        """Return True while the log no longer holds what this copy needs next."""
+        return self._scan is not None
+
+    @property
+    def read_from(self):
+        """Return the offset from which to read the log."""
+        return self._scan if self.searching else self.next
+
+    def feed(self, entries):
+        """Fold the entries that continue this copy.
+
+        Returns
+        -------
+        list of (Record, result)
+            One pair per record that took effect.
+        """
+        applied = []
+        for entry in entries:
+            if entry.offset == self.next:
+                applied.extend(self._fold(entry))
+            if self.searching and entry.offset == self._scan:
+                self._scan += 1
+                self._search(entry)
+        return applied
+
+    def truncated(self, first):
+        """Note that the log starts at `first`; search a checkpoint from there on."""
+        if first > self.next and not (self.searching and self._scan >= first):
+            self._first = self._scan = first
+            self._scanned = Assembler()
+
+    def recent_from(self, start):
+        """Return recent entries from `start` on, or None if they are gone."""
+        if not self._recent or self._recent[0].offset > start:
+            return None
+        found, size = [], 0
+        for entry in self._recent:
+            if entry.offset >= start:
+                size += len(entry.data)
+                if found and size > REPLY_BYTES:
+                    break
+                found.append(entry)
+        return found
+
+    def snapshot(self):
+        """Return the compressed state after all entries below `next`."""
+        head = {
+            "as_of": self.next,
+            "checkpoint_time_s": self.checkpoint_time_s,
+            "checkpoint_offset": self.checkpoint_offset,
+            "seen": list(self._seen),
+            "unfinished": [
+                [*key[:3], key[3].hex(), {n: _text(data) for n, data in parts.items()}]
+                for key, parts in self._assembler.unfinished.items()
+            ],
+        }
+        head = json.dumps(head).encode()
+        body = SNAPSHOT_HEAD.pack(len(head)) + head + self.fold.snapshot()
+        return zlib.compress(body, COMPRESSION_LEVEL)
+
+    def restore(self, data):
+        """Take over a snapshot if it is newer; return True if it was.
+
+        Raises
+        ------
+        SnapshotError
+            If the data is no snapshot.
+        """
+        try:
+            body = _decompress(data)
+            size = SNAPSHOT_HEAD.unpack_from(body)[0]
+            head = json.loads(body[SNAPSHOT_HEAD.size : SNAPSHOT_HEAD.size + size])
+            if head["as_of"] <= self.next:
+                return False
+            unfinished = {
+                (EntryKind(kind), record_id, parts, bytes.fromhex(digest)): {
+                    int(n): base64.b64decode(text) for n, text in found.items()
+                }
+                for kind, record_id, parts, digest, found in head["unfinished"]
+            }
+            self.fold.restore(body[SNAPSHOT_HEAD.size + size :])
+        except (zlib.error, struct.error, ValueError, KeyError, TypeError) as exc:
+            raise SnapshotError(f"{self.fold.stream}: {exc}") from exc
+        self._seen = dict.fromkeys(head["seen"])
+        self._assembler.unfinished = unfinished
+        self.checkpoint_time_s = head["checkpoint_time_s"]
+        self.checkpoint_offset = head["checkpoint_offset"]
+        self._recent.clear()
+        self._recent_bytes = 0
+        self._advance(head["as_of"])
+        return True
+
+    def _fold(self, entry):
+        self._keep(entry)
+        if self.checkpoint_time_s is None:
+            self.checkpoint_time_s = entry.time_s
+            self.checkpoint_offset = entry.offset
+        self._advance(entry.offset + 1)
+        try:
+            part = parse_part(entry.data)
+        except EntryError:
+            return
+        if part.kind is EntryKind.CHECKPOINT:
+            if part.last:
+                self.checkpoint_time_s = entry.time_s
+                self.checkpoint_offset = entry.offset
+            return
+        if part.record_id in self._seen:
+            return
+        data = self._assembler.add(part)
+        if data is None:
+            return
+        self._seen[part.record_id] = None
+        if len(self._seen) > SEEN_IDS:
+            del self._seen[next(iter(self._seen))]
+        record_id = RecordId(part.record_id)
+        record = Record(Offset(entry.offset), entry.time_s, record_id, data)
+        yield record, self.fold.apply(record)
+
+    def _search(self, entry):
+        """Restore from the first whole checkpoint whose rest the log still holds."""
+        try:
+            part = parse_part(entry.data)
+            if part.kind is not EntryKind.CHECKPOINT:
+                return
+            data = self._scanned.add(part)
+            if data is not None and snapshot_offset(data) >= self._first:
+                self.restore(data)
+        except (EntryError, SnapshotError):
+            return
+
+    def _advance(self, offset):
+        self.next = Offset(offset)
+        if self.searching and self.next >= self._first:
+            self._scan = None
+
+    def _keep(self, entry):
+        self._recent.append(entry)
+        self._recent_bytes += len(entry.data)
+        while (
+            self._recent_bytes > RECENT_BYTES or len(self._recent) > RECENT_ENTRIES
+        ) and len(self._recent) > 1:
+            self._recent_bytes -= len(self._recent.popleft().data)
+
+
+def snapshot_offset(data):
+    """Return the offset of a snapshot without restoring it."""
+    try:
+        body = _decompress(data)
+        size = SNAPSHOT_HEAD.unpack_from(body)[0]
+        head = json.loads(body[SNAPSHOT_HEAD.size : SNAPSHOT_HEAD.size + size])
+        return head["as_of"]
+    except (zlib.error, struct.error, ValueError, KeyError) as exc:
+        raise SnapshotError(str(exc)) from exc
+
+
+def _decompress(data):
+    inflater = zlib.decompressobj()
+    body = inflater.decompress(data, MAX_SNAPSHOT_BYTES)
+    if not inflater.eof:
+        raise SnapshotError("snapshot is cut off or too large")
+    return body
+
+
+def _text(data):
+    return base64.b64encode(data).decode()
--- /dev/null
+++ b/dandelionarch/core/parts.py
@@ -0,0 +1,117 @@
+"""Entries of a stream: records and checkpoints, split to the log's record size."""
+
+import hashlib
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+
+from dandelionarch.errors import EntryError
+
+MAX_ENTRY_BYTES = 256 << 10
+HEAD = struct.Struct("!BBHH8sB")
+FORMAT_VERSION = 1
+MAX_ID_BYTES = 120
+PART_BYTES = MAX_ENTRY_BYTES - HEAD.size - MAX_ID_BYTES
+MAX_PARTS = 512
+# Parts of a publisher that died stay unfinished. The limit bounds their memory; the
+# oldest goes first, by log order, so that every reader drops the same one.
+MAX_UNFINISHED = 8
+
+
+class EntryKind(IntEnum):
+    """What an entry is a part of."""
+
+    RECORD = 1
+    CHECKPOINT = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """The content of one entry; `digest` is of the whole payload."""
+
+    kind: EntryKind
+    record_id: str
+    part: int
+    parts: int
+    digest: bytes
+    data: bytes
+
+    @property
+    def key(self):
+        """Return what all parts of one payload have in common."""
+        return (self.kind, self.record_id, self.parts, self.digest)
+
+    @property
+    def last(self):
+        """Return True for the part with the highest number."""
+        return self.part == self.parts - 1
+
+
+def digest_of(data):
+    """Return the short digest by which parts of one payload are matched."""
+    return hashlib.sha256(data).digest()[:8]
+
+
+def split(record_id, data, kind=EntryKind.RECORD):
+    """Return the entries of a payload, each at most `MAX_ENTRY_BYTES`.
+
+    Raises
+    ------
+    EntryError
+        If the id is too long or the payload needs more than `MAX_PARTS` parts.
+    """
+    name = record_id.encode()
+    if not 0 < len(name) <= MAX_ID_BYTES:
+        raise EntryError(f"record id must have 1 to {MAX_ID_BYTES} bytes")
+    parts = max(1, -(-len(data) // PART_BYTES))
+    if parts > MAX_PARTS:
+        raise EntryError(f"{len(data)} bytes need more than {MAX_PARTS} parts")
+    digest = digest_of(data)
+    return [
+        HEAD.pack(FORMAT_VERSION, kind, number, parts, digest, len(name))
+        + name
+        + data[number * PART_BYTES : (number + 1) * PART_BYTES]
+        for number in range(parts)
+    ]
+
+
+def parse_part(entry):
+    """Return the `Part` in an entry's bytes.
+
+    Raises
+    ------
+    EntryError
+        If the bytes are not an entry of this format.
+    """
+    try:
+        version, kind, part, parts, digest, size = HEAD.unpack_from(entry)
+        record_id = entry[HEAD.size : HEAD.size + size].decode()
+        kind = EntryKind(kind)
+    except (struct.error, ValueError) as exc:
+        raise EntryError(f"not an entry: {exc}") from exc
+    if version != FORMAT_VERSION or not record_id:
+        raise EntryError(f"entry of format {version}")
+    if part >= parts or parts > MAX_PARTS:
+        raise EntryError(f"part {part} of {parts}")
+    return Part(kind, record_id, part, parts, digest, entry[HEAD.size + size :])
+
+
+class Assembler:
+    """Collects parts until their payload is whole."""
+
+    def __init__(self):
+        self.unfinished = {}
+
+    def add(self, part):
+        """Return the whole payload if this part completes it, otherwise None."""
+        if part.parts == 1:
+            return part.data if digest_of(part.data) == part.digest else None
+        found = self.unfinished.setdefault(part.key, {})
+        found.setdefault(part.part, part.data)
+        if len(found) < part.parts:
+            if len(self.unfinished) > MAX_UNFINISHED:
+                del self.unfinished[next(iter(self.unfinished))]
+            return None
+        del self.unfinished[part.key]
+        data = b"".join(found[number] for number in range(part.parts))
+        return data if digest_of(data) == part.digest else None
--- a/dandelionarch/ctl/commands.py
+++ b/dandelionarch/ctl/commands.py
@@ -7,8 +7,10 @@
 
 import aiohttp
 
-from dandelionarch.core.config import CONFIG_STREAM, ConfigState, Publication, Verdict
+from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Publication, Verdict
+from dandelionarch.core.copy import StreamCopy
 from dandelionarch.core.lists import parse_lists
+from dandelionarch.core.parts import split
 from dandelionarch.daemon.logclient import LogClient
 from dandelionarch.errors import DandelionError, ListError
 from dandelionarch.ids import RecordId
@@ -45,12 +47,10 @@
 
 async def read_config(client):
     """Fold the configuration stream and return (state, next offset)."""
-    state, start = ConfigState(), 0
-    while records := await client.read(CONFIG_STREAM, start):
-        for record in records:
-            state.apply(Publication.from_bytes(record.data))
-        start = records[-1].offset + 1
-    return state, start
+    copy = StreamCopy(ConfigFold())
+    while entries := await client.read(CONFIG_STREAM, copy.read_from):
+        copy.feed(entries)
+    return copy.fold.state, copy.next
 
 
 class Check(Command):
@@ -89,7 +89,8 @@
             state, _ = await read_config(client)
             record_id = RecordId(uuid.uuid4().hex)
             pub = Publication(record_id, state.revision, args.author, plans, allowances)
-            await client.append(CONFIG_STREAM, pub.to_bytes())
+            for entry in split(record_id, pub.to_bytes()):
+                await client.append(CONFIG_STREAM, entry)
             state, _ = await read_config(client)
         finally:
             await client.stop()
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -4,7 +4,7 @@
 import logging
 import time
 
-from dandelionarch.core.config import CONFIG_STREAM, ConfigState, Publication, Verdict
+from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Verdict
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.lists import CustomerKeys, RouteTable
 from dandelionarch.core.messages import request as msgs
@@ -16,14 +16,12 @@
 from dandelionarch.daemon.ingress_http import IngressHttp
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.logclient import LogClient
-from dandelionarch.errors import PlatformError
+from dandelionarch.daemon.streams import StreamService
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
 
-LOG_WAIT_MS = 1000
-LOG_RETRY_S = 0.5
 STOP_POLL_S = 0.02
 
 
@@ -42,44 +40,6 @@
         self.lists = lists
 
 
-class ConfigFollower:
-    """Task that follows the configuration stream."""
-
-    def __init__(self, client, active):
-        self.state = ConfigState()
-        self._client = client
-        self._active = active
-        self._next = 0
-
-    async def run(self):
-        """Follow the stream until cancelled."""
-        while True:
-            try:
-                records = await self._client.read(
-                    CONFIG_STREAM, self._next, wait_ms=LOG_WAIT_MS
-                )
-            except PlatformError as exc:
-                event(log, "log_unavailable", logging.WARNING, detail=str(exc))
-                await asyncio.sleep(LOG_RETRY_S)
-                continue
-            for record in records:
-                self._apply(record)
-
-    def _apply(self, record):
-        self._next = record.offset + 1
-        pub = Publication.from_bytes(record.data)
-        verdict = self.state.apply(pub)
-        event(
-            log,
-            "publication",
-            record=pub.record_id,
-            verdict=verdict.value,
-            revision=self.state.revision,
-        )
-        if verdict is Verdict.ACCEPTED:
-            self._active.use(self.state.lists)
-
-
 class Daemon:
     """All parts of one daemon in one process and loop."""
 
@@ -102,7 +62,11 @@
         self.directory.put_vm(self.vm)
         self.active = ActiveConfig()
         self.client = LogClient(cfg.log_url)
-        self.config = ConfigFollower(self.client, self.active)
+        self.streams = StreamService(self.client)
+        self.config = ConfigFold()
+        self.streams.add_fold(self.config)
+        self.streams.on_applied(CONFIG_STREAM, self._on_publication)
+        self.streams.on_restored(CONFIG_STREAM, self._use_config)
         self.network = PeerNetwork(self.vm_id, cfg.shared_key.encode(), self._address)
         self.agent = Agent(self.network, self.directory, self.vm_id)
         self.ingress = Ingress(self.network, self.directory, self.agent)
@@ -138,7 +102,7 @@
             await server.startup()
             await server.start_serving()
             self._servers.append(server)
-        for coro in (self.config.run(), self.exchange.run()):
+        for coro in (self.streams.run(), self.exchange.run()):
             self._tasks.append(asyncio.create_task(coro))
 
     async def _drain(self):
@@ -181,6 +145,9 @@
             "data_centre": self.vm.data_centre,
             "incarnation": self.vm.incarnation,
             "revision": self.config.state.revision,
+            "offsets": self.streams.offsets(),
+            "ready": self.streams.ready,
+            "log_available": self.streams.available,
             "vms": {vm.vm_id: vm.state.value for vm in self.directory.vms.values()},
             "endpoints": {
                 e.endpoint_id: {
@@ -193,6 +160,21 @@
             },
         }
 
+    def _on_publication(self, record, verdict):
+        event(
+            log,
+            "publication",
+            record=record.record_id,
+            verdict=verdict.value if verdict else "unreadable",
+            revision=self.config.state.revision,
+        )
+        if verdict is Verdict.ACCEPTED:
+            self._use_config()
+
+    def _use_config(self):
+        if self.config.state.revision:
+            self.active.use(self.config.state.lists)
+
     def _address(self, vm_id):
         vm = self.directory.vms.get(vm_id)
         return None if vm is None else (vm.host, vm.peer_port)
--- a/dandelionarch/daemon/logclient.py
+++ b/dandelionarch/daemon/logclient.py
@@ -1,10 +1,12 @@
 """Client of the platform's log service."""
 
 import base64
-from dataclasses import dataclass
+import time
+from email.utils import parsedate_to_datetime
 
 import aiohttp
 
+from dandelionarch.core.messages.streams import LogEntry
 from dandelionarch.errors import (
     OffsetTruncatedError,
     PlatformError,
@@ -18,21 +20,19 @@
 READ_TIMEOUT_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class LogRecord:
-    """A record at its place in a stream; `time_s` is the log service's clock."""
-
-    offset: Offset
-    time_s: float
-    data: bytes
-
-
 class LogClient:
-    """Appends to and reads from the streams of one log service."""
+    """Appends to and reads from the streams of one log service.
+
+    Attributes
+    ----------
+    log_time_s : float
+        The log service's clock at its last reply, from the HTTP Date header.
+    """
 
     def __init__(self, url):
         self._url = url.rstrip("/")
         self._session = None
+        self.log_time_s = 0.0
 
     async def start(self):
         """Open the connection pool."""
@@ -74,7 +74,7 @@
         timeout_s = READ_TIMEOUT_S + wait_ms / 1000
         body = await self._call("GET", stream, timeout_s, params=params, data=None)
         return [
-            LogRecord(Offset(r["offset"]), r["time"], base64.b64decode(r["data"]))
+            LogEntry(Offset(r["offset"]), r["time"], base64.b64decode(r["data"]))
             for r in body["records"]
         ]
 
@@ -85,6 +85,7 @@
             async with self._session.request(
                 method, url, timeout=timeout, **kwargs
             ) as resp:
+                self.log_time_s = _reply_time_s(resp)
                 if resp.status == 410:
                     body = await resp.json()
                     raise OffsetTruncatedError(body["first_offset"])
@@ -96,3 +97,10 @@
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             detail = str(exc) or type(exc).__name__
             raise PlatformUnavailableError(f"log service: {detail}") from exc
+
+
+def _reply_time_s(resp):
+    try:
+        return parsedate_to_datetime(resp.headers["Date"]).timestamp()
+    except (KeyError, ValueError):
+        return time.time()
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -110,3 +110,15 @@
 
 class NotReadyError(DandelionError):
     """The daemon has no accepted configuration yet."""
+
+
+class StreamError(DandelionError):
+    """A stream of the log or a copy of it can't be used."""
+
+
+class EntryError(StreamError):
+    """A log entry or a payload for one is outside the format's limits."""
+
+
+class SnapshotError(StreamError):
+    """A checkpoint or a peer's state can't be read."""
--- a/dandelionarch/wire/codec.py
+++ b/dandelionarch/wire/codec.py
@@ -12,7 +12,7 @@
 
 import capnp
 
-from dandelionarch.core.messages import members, request
+from dandelionarch.core.messages import members, request, streams
 from dandelionarch.errors import MessageDecodeError
 
 capnp.remove_import_hook()
@@ -27,11 +27,13 @@
 
     REQUEST = 0
     MEMBERS = 1
+    STREAMS = 2
 
 
 CHANNELS = {
     Channel.REQUEST: ("request.capnp", request.MESSAGES),
     Channel.MEMBERS: ("members.capnp", members.MESSAGES),
+    Channel.STREAMS: ("streams.capnp", streams.MESSAGES),
 }
 
 
--- /dev/null
+++ b/tests/test_stream_copy.py
@@ -0,0 +1,129 @@
+"""A copy of a stream folds entries in log order."""
+
+import json
+
+import pytest
+
+from dandelionarch.core.copy import StreamCopy
+from dandelionarch.core.messages.streams import LogEntry
+from dandelionarch.core.parts import MAX_ENTRY_BYTES, EntryKind, split
+from dandelionarch.core.streams import Fold
+from dandelionarch.errors import EntryError
+
+
+class Collected(Fold):
+    """Keeps the record ids and sizes that took effect."""
+
+    stream = "config"
+
+    def __init__(self):
+        self.found = []
+
+    def apply(self, record):
+        self.found.append([record.record_id, len(record.data)])
+        return len(self.found)
+
+    def snapshot(self):
+        return json.dumps(self.found).encode()
+
+    def restore(self, data):
+        self.found = json.loads(data)
+
+
+class LogCopy:
+    """A log in memory that numbers entries."""
+
+    def __init__(self):
+        self.entries = []
+
+    def add(self, *entries):
+        for data in entries:
+            offset = len(self.entries)
+            self.entries.append(LogEntry(offset, float(offset), data))
+        return self
+
+    def copy(self, start=0):
+        """Return a new copy that has read everything from `start` on."""
+        copy = StreamCopy(Collected())
+        copy.truncated(start)
+        while copy.read_from < len(self.entries):
+            copy.feed(self.entries[copy.read_from :])
+        return copy
+
+
+LARGE = bytes(range(256)) * 3000
+
+
+class TestParts:
+    """Payloads larger than a log record are split."""
+
+    def test_interleaved_parts_take_effect_at_the_last_one(self):
+        """Guards against a payload that is mixed up with another's parts."""
+        first, second = split("a", LARGE), split("b", LARGE[::-1])
+        log = LogCopy()
+        for one, other in zip(first, second, strict=True):
+            assert max(len(one), len(other)) <= MAX_ENTRY_BYTES
+            log.add(one, other)
+        copy = StreamCopy(Collected())
+        copy.feed(log.entries[:-2])
+        assert copy.fold.found == []
+        copy.feed(log.entries[-2:])
+        assert copy.fold.found == [["a", len(LARGE)], ["b", len(LARGE)]]
+
+    def test_repeated_append_counts_once(self):
+        """Guards against a second effect after a lost reply of the log."""
+        parts = split("a", LARGE)
+        copy = LogCopy().add(*parts[:1], *parts, *parts, *split("b", b"")).copy()
+        assert copy.fold.found == [["a", len(LARGE)], ["b", 0]]
+
+    def test_foreign_entry_is_passed_over(self):
+        """Guards against a stream that stops at an entry of another format."""
+        copy = LogCopy().add(b"", b"not an entry at all", *split("a", b"x")).copy()
+        assert copy.fold.found == [["a", 1]]
+
+    def test_oversized_payload_is_rejected(self):
+        """Guards against appending parts that no reader accepts."""
+        with pytest.raises(EntryError):
+            split("a" * 200, b"")
+
+
+class TestStreamCopy:
+    """Copies agree wherever they start."""
+
+    def test_gap_is_never_skipped(self):
+        """Guards against a verdict on a record without those before it."""
+        log = LogCopy().add(*(split(str(n), b"")[0] for n in range(4)))
+        copy = StreamCopy(Collected())
+        copy.feed(log.entries[2:])
+        assert (copy.next, copy.fold.found) == (0, [])
+
+    def test_start_from_checkpoint_equals_start_from_the_first_entry(self):
+        """Guards against state that a checkpoint leaves out: ids, half payloads."""
+        large = split("big", LARGE)
+        log = LogCopy().add(*split("a", b"1"), large[0])
+        checkpoint = log.copy().snapshot()
+        log.add(*split("b", b"2"))
+        log.add(*split("cp", checkpoint, EntryKind.CHECKPOINT))
+        log.add(*split("a", b"1"), *large[1:], *split("c", b"3"))
+        whole, late = log.copy(), log.copy(start=2)
+        assert late.fold.found == whole.fold.found
+        assert [name for name, _ in late.fold.found] == ["a", "b", "big", "c"]
+        assert late.next == whole.next == len(log.entries)
+
+    def test_checkpoint_with_a_truncated_remainder_is_not_used(self):
+        """Guards against skipping entries between a checkpoint's state and it."""
+        log = LogCopy().add(*split("a", b""))
+        checkpoint = log.copy().snapshot()
+        log.add(*split("b", b""), *split("c", b""))
+        log.add(*split("cp", checkpoint, EntryKind.CHECKPOINT))
+        copy = log.copy(start=2)
+        assert copy.searching
+        assert (copy.next, copy.fold.found) == (0, [])
+
+    def test_older_snapshot_is_not_restored(self):
+        """Guards against an offset or a revision that goes back."""
+        log = LogCopy().add(*split("a", b""))
+        old = log.copy().snapshot()
+        copy = log.add(*split("b", b"")).copy()
+        assert not copy.restore(old)
+        assert copy.next == 2
