Relay streams between daemons by offset

A copy that learns of a higher offset pulls the entries, or the whole state in parts when the peer no longer holds them. A daemon that starts while the log has no answer takes the newest state of three ready peers. The age of a checkpoint is computed on the log's clock, from the Date header of its replies, because a daemon that starts has not seen the idle time before.

--- /dev/null
+++ b/dandelionarch/core/bootstrap.py
@@ -0,0 +1,63 @@
+"""State of a daemon that starts while the log does not answer."""
+
+from dandelionarch.core.messages.streams import OffsetsQuery
+
+PEERS_NEEDED = 3
+QUERY_PERIOD_S = 1.0
+
+
+class PeerStart:
+    """Collects the offsets of ready peers and says which must be reached.
+
+    The newest of three ready peers is taken, or of all seeds while fewer than three
+    peers are known. With neither a reply nor the log there is no state to serve from.
+
+    Parameters
+    ----------
+    vm_id : VmId
+    seeds : list of (host, port)
+        Peer addresses from the settings, without this VM's own.
+    rng : random.Random
+    """
+
+    def __init__(self, vm_id, seeds, rng):
+        self._vm_id = vm_id
+        self._seeds = frozenset(seeds)
+        self._rng = rng
+        self._replies = {}
+        self._asked = None
+
+    def queries(self, vms, now):
+        """Return (vm_id, message) pairs to send, at most once per period."""
+        if self._asked is not None and now < self._asked + QUERY_PERIOD_S:
+            return []
+        self._asked = now
+        others = [vm for vm in vms if vm not in self._replies and vm != self._vm_id]
+        chosen = self._rng.sample(others, min(PEERS_NEEDED, len(others)))
+        return [(vm_id, OffsetsQuery(self._vm_id)) for vm_id in chosen]
+
+    def reply(self, vm_id, beat):
+        """Note a peer's offsets if it is ready."""
+        if beat.ready:
+            self._replies[vm_id] = {s.stream: s.offset for s in beat.offsets}
+
+    def targets(self, addresses):
+        """Return the offset to reach per stream, or None with too few replies.
+
+        Parameters
+        ----------
+        addresses : dict
+            Peer address (host, port) of every known living VM.
+        """
+        if not self._replies:
+            return None
+        if len(self._replies) < PEERS_NEEDED:
+            known = len(addresses.keys() - {self._vm_id})
+            answered = {addresses.get(vm_id) for vm_id in self._replies}
+            if known >= PEERS_NEEDED or not self._seeds <= answered:
+                return None
+        newest = {}
+        for offsets in self._replies.values():
+            for stream, offset in offsets.items():
+                newest[stream] = max(offset, newest.get(stream, 0))
+        return newest
--- a/dandelionarch/core/copy.py
+++ b/dandelionarch/core/copy.py
@@ -30,6 +30,8 @@
         Offset of the next entry to fold; it never decreases.
     checkpoint_time_s, checkpoint_offset : float, int
         Place of the last checkpoint (or of the first entry) seen in the log.
+    restores : int
+        How often a newer snapshot replaced the state.
     """
 
     def __init__(self, fold):
@@ -37,6 +39,7 @@
         self.next = Offset(0)
         self.checkpoint_time_s = None
         self.checkpoint_offset = 0
+        self.restores = 0
         self._first = None
         self._scan = None
         self._scanned = Assembler()
@@ -130,6 +133,7 @@
             self.fold.restore(body[SNAPSHOT_HEAD.size + size :])
         except (zlib.error, struct.error, ValueError, KeyError, TypeError) as exc:
             raise SnapshotError(f"{self.fold.stream}: {exc}") from exc
+        self.restores += 1
         self._seen = dict.fromkeys(head["seen"])
         self._assembler.unfinished = unfinished
         self.checkpoint_time_s = head["checkpoint_time_s"]
--- a/dandelionarch/core/messages/streams.py
+++ b/dandelionarch/core/messages/streams.py
@@ -55,17 +55,21 @@
 
 @dataclass(frozen=True, slots=True)
 class OffsetsQuery:
-    """Ask a daemon for its offsets; sent by a daemon that starts."""
+    """Ask a daemon for its `StreamBeat`; sent by a daemon that starts."""
 
     sender: str
 
 
 @dataclass(frozen=True, slots=True)
-class OffsetsReply:
-    """The sender's offsets; they count only if `ready`."""
+class StreamBeat:
+    """The sender's offsets and its view of the log, also sent to its children.
+
+    The offsets count for a daemon that starts only if the sender is `ready`.
+    """
 
     ready: bool
+    available: bool
     offsets: tuple[StreamOffset, ...]
 
 
-MESSAGES = (StreamRecords, StreamPull, StreamState, OffsetsQuery, OffsetsReply)
+MESSAGES = (StreamRecords, StreamPull, StreamState, OffsetsQuery, StreamBeat)
--- /dev/null
+++ b/dandelionarch/core/transfer.py
@@ -0,0 +1,67 @@
+"""Transfer of a stream's whole state between daemons, part by part."""
+
+from dandelionarch.core.messages.streams import StreamPull, StreamState
+
+STATE_PART_BYTES = 256 << 10
+KEEP_S = 30.0
+MAX_STATE_PARTS = 4096
+
+
+class OutgoingState:
+    """The snapshot that a daemon hands out until the last reader is done."""
+
+    def __init__(self, copy):
+        self._copy = copy
+        self._as_of = 0
+        self._data = b""
+        self._used = 0.0
+
+    def answer(self, pull, now):
+        """Return the `StreamState` that a pull asks for.
+
+        A pull for an older state than the kept one gets the first part of the kept
+        one, so the reader starts again.
+        """
+        if not self._as_of or (not pull.as_of and self._as_of != self._copy.next):
+            self._data = self._copy.snapshot()
+            self._as_of = self._copy.next
+        self._used = now
+        parts = max(1, -(-len(self._data) // STATE_PART_BYTES))
+        part = pull.part if pull.as_of == self._as_of and pull.part < parts else 0
+        begin = part * STATE_PART_BYTES
+        return StreamState(
+            pull.stream,
+            self._as_of,
+            part,
+            parts,
+            self._data[begin : begin + STATE_PART_BYTES],
+        )
+
+    def expire(self, now):
+        """Free the snapshot when nobody has asked for it lately."""
+        if self._as_of and now - self._used > KEEP_S:
+            self._as_of, self._data = 0, b""
+
+
+class IncomingState:
+    """Parts of one state from one peer, in order."""
+
+    def __init__(self):
+        self._key = None
+        self._found = []
+
+    def add(self, sender, state):
+        """Take a part; return (whole data or None, next pull or None)."""
+        key = (sender, state.as_of, state.parts)
+        if state.parts > MAX_STATE_PARTS or state.part >= state.parts:
+            return None, None
+        if state.part == 0:
+            self._key, self._found = key, []
+        if key != self._key or state.part != len(self._found):
+            return None, None
+        self._found.append(state.data)
+        if len(self._found) < state.parts:
+            return None, StreamPull(state.stream, 0, state.as_of, len(self._found))
+        data = b"".join(self._found)
+        self._key, self._found = None, []
+        return data, None
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -4,6 +4,7 @@
 import logging
 import time
 
+from dandelionarch.core.checkpoints import Retention
 from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Verdict
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.lists import CustomerKeys, RouteTable
@@ -62,12 +63,20 @@
         self.directory.put_vm(self.vm)
         self.active = ActiveConfig()
         self.client = LogClient(cfg.log_url)
-        self.streams = StreamService(self.client)
+        self.network = PeerNetwork(self.vm_id, cfg.shared_key.encode(), self._address)
+        self.streams = StreamService(
+            self.client,
+            self.network,
+            self.directory,
+            self.vm,
+            Retention(settings.log.retention_s, settings.log.retention_records),
+            cfg.seed_addresses,
+        )
         self.config = ConfigFold()
         self.streams.add_fold(self.config)
         self.streams.on_applied(CONFIG_STREAM, self._on_publication)
         self.streams.on_restored(CONFIG_STREAM, self._use_config)
-        self.network = PeerNetwork(self.vm_id, cfg.shared_key.encode(), self._address)
+        self.streams.on_ready(self._use_config)
         self.agent = Agent(self.network, self.directory, self.vm_id)
         self.ingress = Ingress(self.network, self.directory, self.agent)
         self.http = IngressHttp(self.ingress, self.active, settings.limits)
@@ -172,7 +181,9 @@
             self._use_config()
 
     def _use_config(self):
-        if self.config.state.revision:
+        # Until the state is recent, a replaced VM would serve an older revision
+        # than its predecessor.
+        if self.streams.ready and self.config.state.revision:
             self.active.use(self.config.state.lists)
 
     def _address(self, vm_id):
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -38,6 +38,16 @@
         return [(host, int(port)) for host, _, port in pairs if host]
 
 
+class LogSection(_Section):
+    """`[log]`: how long the platform's log keeps records.
+
+    Checkpoints are appended at a quarter of it; 0 records means no limit by count.
+    """
+
+    retention_s: float = pydantic.Field(default=86_400.0, ge=10, le=31_536_000)
+    retention_records: int = pydantic.Field(default=0, ge=0, le=1_000_000_000)
+
+
 class LimitsSection(_Section):
     """`[limits]`: bounds on what one request or one daemon may take."""
 
@@ -68,6 +78,7 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
     daemon: DaemonSection
+    log: LogSection = LogSection()
     limits: LimitsSection = LimitsSection()
     statsd: StatsdSection = StatsdSection()
     logs: LogsSection = LogsSection()
@@ -75,6 +86,7 @@
 
 SECTIONS = {
     "daemon": DaemonSection,
+    "log": LogSection,
     "limits": LimitsSection,
     "statsd": StatsdSection,
     "logs": LogsSection,
--- a/dandelionarch/daemon/streams.py
+++ b/dandelionarch/daemon/streams.py
@@ -2,11 +2,22 @@
 
 import asyncio
 import logging
+import random
 import uuid
 
-from dandelionarch.core.copy import StreamCopy
-from dandelionarch.core.parts import split
+from dandelionarch.core.messages import streams as msgs
+from dandelionarch.core.parts import EntryKind, split
+from dandelionarch.core.relay import (
+    TICK_PERIOD_S,
+    AppendCheckpoint,
+    Applied,
+    ReadLog,
+    Restored,
+    Send,
+    StreamNode,
+)
 from dandelionarch.errors import (
+    LinkError,
     OffsetTruncatedError,
     PlatformError,
     PlatformUnavailableError,
@@ -17,30 +28,52 @@
 log = logging.getLogger(__name__)
 
 READ_LIMIT = 200
-READ_WAIT_MS = 1000
-READ_RETRY_S = 0.5
+# After an append without an answer the log counts as unavailable for this long,
+# unless a later append succeeds.
+APPEND_FAILED_S = 5.0
 
 
 class StreamService:
-    """Copies of streams, folded in log order.
+    """Copies of streams, folded in log order and relayed between daemons.
 
     Parameters
     ----------
     client : LogClient
         Reads from and appends to the platform's log.
+    network : PeerNetwork
+    directory : Directory
+        Source of the living members.
+    vm : Vm
+        This daemon's VM.
+    retention : Retention
+    seeds : list of (host, port)
+        Peer addresses from the settings.
     """
 
-    def __init__(self, client):
+    def __init__(self, client, network, directory, vm, retention, seeds=()):
         self._client = client
-        self._copies = {}
+        self._network = network
+        self._directory = directory
+        self._vm = vm
+        self._retention = retention
+        self._seeds = [s for s in seeds if s != (vm.host, vm.peer_port)]
+        self._folds = {}
         self._applied = {}
         self._restored = {}
-        self._caught_up = set()
-        self._failing = set()
+        self._ready = []
+        self._was_ready = False
+        self._node = self._new_node()
+        self._members_changed = True
+        self._append_failed_at = float("-inf")
+        self._was_available = True
+        directory.on_change(self._note_change)
+        for cls in msgs.MESSAGES:
+            network.subscribe(cls, self._on_message)
 
     def add_fold(self, fold):
         """Follow `fold.stream` with a `Fold`; call it before `run`."""
-        self._copies[fold.stream] = StreamCopy(fold)
+        self._folds[fold.stream] = fold
+        self._node = self._new_node()
 
     def on_applied(self, stream, callback):
         """Call `callback(record, result)` after each applied record of a stream."""
@@ -53,22 +86,31 @@
         """
         self._restored.setdefault(stream, []).append(callback)
 
+    def on_ready(self, callback):
+        """Call `callback()` once when `ready` becomes True."""
+        self._ready.append(callback)
+
     @property
     def ready(self):
-        """Return True once every fold's state is known to be recent."""
-        return self._caught_up >= set(self._copies)
+        """Return True once every fold's state is known to be recent.
+
+        It came from the log or, while the log did not answer, from three peers.
+        """
+        return self._node.ready
 
     @property
     def available(self):
-        """Return False while the log does not answer."""
-        return not self._failing
+        """Return False while the log does not answer, as far as known here."""
+        failed_s = self._network.now() - self._append_failed_at
+        return self._node.available and failed_s > APPEND_FAILED_S
 
     def offsets(self):
         """Return the next offset of each stream."""
-        return {stream: copy.next for stream, copy in self._copies.items()}
+        return self._node.offsets()
 
     def peer_offsets(self, vm_id, offsets):
-        """Note the offsets that a peer's ping shows."""
+        """Note the offsets that a peer's ping shows, by stream."""
+        self._execute(self._node.peer_offsets(vm_id, offsets, self._network.now()))
 
     async def append(self, stream, data, record_id=None):
         """Append one record and return the offset at which it takes effect.
@@ -87,55 +129,110 @@
         EntryError
             If the record is too large; nothing was appended.
         """
-        offset = Offset(0)
-        for entry in split(record_id or uuid.uuid4().hex, data):
-            offset = await self._client.append(stream, entry)
-        return offset
+        return await self._append(split(record_id or uuid.uuid4().hex, data), stream)
 
     async def run(self):
         """Follow all streams until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            for stream in self._copies:
-                group.create_task(self._follow(stream))
-
-    async def _follow(self, stream):
-        copy = self._copies[stream]
         while True:
-            wait_ms = READ_WAIT_MS if stream in self._caught_up else 0
-            try:
-                entries = await self._client.read(
-                    stream, copy.read_from, READ_LIMIT, wait_ms
+            if self._members_changed:
+                self._members_changed = False
+                self._node.set_members(
+                    {
+                        vm.vm_id: (vm.data_centre, (vm.host, vm.peer_port))
+                        for vm in self._directory.living_vms()
+                    }
                 )
-            except OffsetTruncatedError as exc:
-                copy.truncated(exc.first_offset)
-                continue
-            except PlatformError as exc:
-                self._read_failed(stream, exc)
-                await asyncio.sleep(READ_RETRY_S)
-                continue
-            self._failing.discard(stream)
-            self._feed(stream, copy, entries)
-            if not entries and not copy.searching:
-                self._caught_up.add(stream)
-
-    def _feed(self, stream, copy, entries):
-        was_searching = copy.searching
-        applied = copy.feed(entries)
-        if was_searching and not copy.searching:
-            for callback in self._restored.get(stream, ()):
+            self._execute(self._node.tick(self._network.now()))
+            if self._was_available != self.available:
+                self._was_available = self.available
+                event(log, "log_availability", available=self._was_available)
+            await asyncio.sleep(TICK_PERIOD_S)
+
+    def _new_node(self):
+        return StreamNode(
+            self._vm.vm_id,
+            self._vm.data_centre,
+            list(self._folds.values()),
+            self._retention,
+            random.Random(),
+            self._seeds,
+        )
+
+    def _note_change(self, _thing):
+        self._members_changed = True
+
+    def _on_message(self, link, msg):
+        commands = self._node.on_message(link.vm_id, msg, self._network.now())
+        self._execute(commands)
+
+    def _execute(self, commands):
+        for command in commands:
+            if isinstance(command, Send):
+                self._network.spawn(self._send(command))
+            elif isinstance(command, ReadLog):
+                self._network.spawn(self._read(command))
+            elif isinstance(command, AppendCheckpoint):
+                self._network.spawn(self._append_checkpoint(command))
+            else:
+                self._report(command)
+        if self.ready and not self._was_ready:
+            self._was_ready = True
+            event(log, "streams_ready", **self.offsets())
+            for callback in self._ready:
+                callback()
+
+    def _report(self, command):
+        if isinstance(command, Restored):
+            event(log, "state_restored", stream=command.stream)
+            for callback in self._restored.get(command.stream, ()):
                 callback()
-        for record, result in applied:
-            for callback in self._applied.get(stream, ()):
-                callback(record, result)
-
-    def _read_failed(self, stream, exc):
-        if stream not in self._failing:
-            event(
-                log,
-                "log_unavailable",
-                logging.WARNING,
-                stream=stream,
-                transient=isinstance(exc, PlatformUnavailableError),
-                detail=str(exc),
+        elif isinstance(command, Applied):
+            for callback in self._applied.get(command.stream, ()):
+                callback(command.record, command.result)
+
+    async def _send(self, command):
+        try:
+            await self._network.send(command.vm_id, command.msg)
+        except LinkError as exc:
+            event(log, "relay_failed", vm=command.vm_id, detail=str(exc))
+
+    async def _read(self, command):
+        node, now = self._node, self._network.now
+        try:
+            entries = await self._client.read(
+                command.stream, command.start, READ_LIMIT, command.wait_ms
             )
-        self._failing.add(stream)
+        except OffsetTruncatedError as exc:
+            first = exc.first_offset
+            event(log, "offset_truncated", stream=command.stream, first=first)
+            commands = node.on_truncated(command.stream, first, now())
+        except PlatformError as exc:
+            event(log, "read_failed", stream=command.stream, detail=str(exc))
+            commands = node.on_read_failed(command.stream, now())
+        else:
+            log_now = self._client.log_time_s
+            commands = node.on_read(command.stream, entries, log_now, now())
+        self._execute(commands)
+
+    async def _append(self, entries, stream):
+        offset = Offset(0)
+        try:
+            for entry in entries:
+                offset = await self._client.append(stream, entry)
+        except PlatformUnavailableError:
+            self._append_failed_at = self._network.now()
+            raise
+        self._append_failed_at = float("-inf")
+        return offset
+
+    async def _append_checkpoint(self, command):
+        entries = split(command.record_id, command.data, EntryKind.CHECKPOINT)
+        try:
+            offset = await self._append(entries, command.stream)
+        except PlatformError as exc:
+            event(log, "checkpoint_unknown", stream=command.stream, detail=str(exc))
+            return
+        size = len(command.data)
+        event(
+            log, "checkpoint_appended", stream=command.stream, offset=offset, bytes=size
+        )
--- /dev/null
+++ b/dandelionarch/measure/stream_fleet.py
@@ -0,0 +1,254 @@
+"""Copies of the stream core on a virtual clock, with a faulty log and network."""
+
+import math
+from dataclasses import dataclass, field
+
+from dandelionarch.core.messages.streams import LogEntry
+from dandelionarch.core.parts import EntryKind, split
+from dandelionarch.core.relay import (
+    TICK_PERIOD_S,
+    AppendCheckpoint,
+    Applied,
+    ReadLog,
+    Send,
+    StreamNode,
+)
+from dandelionarch.core.timer import TimerService
+
+LOG_DELAY_S = 0.002
+READ_LIMIT = 200
+PING_PERIOD_S = 1.0
+DETECTION_S = 7.0
+OUTAGE_DELAY_S = 0.01
+
+
+class VirtualLog:
+    """Append-only streams with retention by count; `up` is False in an outage."""
+
+    def __init__(self, timer, retention_records=math.inf):
+        self.up = True
+        self.appends = 0
+        self.reads = 0
+        self._timer = timer
+        self._retention = retention_records
+        self._streams = {}
+        self._waiting = {}
+
+    def entries(self, stream):
+        """Return the retained entries of a stream."""
+        return self._streams.setdefault(stream, [])
+
+    def end(self, stream):
+        """Return the offset of the next entry."""
+        entries = self.entries(stream)
+        return entries[-1].offset + 1 if entries else 0
+
+    def append(self, stream, data):
+        """Append and return True, or return False in an outage."""
+        if not self.up:
+            return False
+        self.appends += 1
+        entries = self.entries(stream)
+        entries.append(LogEntry(self.end(stream), self._timer.now(), data))
+        while len(entries) > self._retention:
+            entries.pop(0)
+        for answer in self._waiting.pop(stream, []):
+            answer()
+        return True
+
+    def wait(self, stream, answer):
+        """Call `answer()` at the next append to a stream."""
+        self._waiting.setdefault(stream, []).append(answer)
+
+
+@dataclass
+class Member:
+    """One simulated daemon; `applied` and `events` are kept over all its life."""
+
+    vm_id: str
+    data_centre: str
+    node: StreamNode
+    alive: bool = True
+    paused: bool = False
+    log_reachable: bool = True
+    held: list = field(default_factory=list)
+    applied: list = field(default_factory=list)
+    received_bytes: int = 0
+    sent_bytes: int = 0
+
+
+class StreamFleet:
+    """Several copies of the core; all faults are drawn from one generator.
+
+    Parameters
+    ----------
+    rng : random.Random
+    make_folds : callable
+        Returns new folds for one daemon.
+    retention : Retention
+    size_of : callable, optional
+        Returns a message's size in bytes.
+    """
+
+    def __init__(self, rng, make_folds, retention, size_of=None, records=math.inf):
+        self.rng = rng
+        self.timer = TimerService()
+        self.log = VirtualLog(self.timer, records)
+        self.members = {}
+        self.loss = 0.0
+        self.duplicates = 0.0
+        self.delay_s = (0.0005, 0.002)
+        self.blocked = set()
+        self.on_applied = lambda member, command: None
+        self._make_folds = make_folds
+        self._retention = retention
+        self._size_of = size_of
+
+    def add(self, vm_id, data_centre, seeds=()):
+        """Start a daemon under a VM id, replacing an earlier one."""
+        old = self.members.get(vm_id)
+        if old is not None:
+            old.alive = False
+        addresses = [(seed, 1) for seed in seeds]
+        folds = self._make_folds()
+        node = StreamNode(
+            vm_id, data_centre, folds, self._retention, self.rng, addresses
+        )
+        member = Member(vm_id, data_centre, node)
+        self.members[vm_id] = member
+        self._every(member, TICK_PERIOD_S, lambda: node.tick(self.timer.now()))
+        self._every(member, PING_PERIOD_S, lambda: self._ping(member))
+        return member
+
+    def crash(self, vm_id):
+        """End a daemon; the others notice after the detection time."""
+        self.members.pop(vm_id).alive = False
+        self.timer.subscribe(DETECTION_S, self.spread_members)
+
+    def spread_members(self):
+        """Tell every daemon who lives."""
+        living = {
+            vm_id: (m.data_centre, (vm_id, 1)) for vm_id, m in self.members.items()
+        }
+        for member in self.members.values():
+            member.node.set_members(living)
+
+    def resume(self, member):
+        """End a pause; what arrived meanwhile is handled late."""
+        member.paused = False
+        held, member.held = member.held, []
+        for event in held:
+            self._execute(member, event())
+
+    def run(self, seconds):
+        """Let virtual time pass."""
+        self.timer.advance(self.timer.now() + seconds)
+
+    def _every(self, member, period_s, event):
+        def fire():
+            if not member.alive:
+                sub.cancel()
+            elif not member.paused:
+                self._execute(member, event())
+
+        first = self.rng.uniform(0, period_s)
+        sub = self.timer.subscribe_every(period_s, fire, first)
+
+    def _later(self, member, delay_s, event):
+        def fire():
+            if not member.alive:
+                return
+            if member.paused:
+                member.held.append(event)
+            else:
+                self._execute(member, event())
+
+        self.timer.subscribe(delay_s, fire)
+
+    def _execute(self, member, commands):
+        for command in commands:
+            if isinstance(command, Send):
+                self._send(member, command)
+            elif isinstance(command, ReadLog):
+                self._read(member, command)
+            elif isinstance(command, AppendCheckpoint):
+                self._checkpoint(member, command)
+            elif isinstance(command, Applied):
+                member.applied.append((command.record.offset, command.result))
+                self.on_applied(member, command)
+
+    def _send(self, member, command):
+        size = self._size_of(command.msg) if self._size_of else 0
+        member.sent_bytes += size
+        copies = 1 + (self.rng.random() < self.duplicates)
+        for _ in range(copies):
+            if self._lost(member.vm_id, command.vm_id):
+                continue
+            target = self.members.get(command.vm_id)
+            if target is not None:
+                target.received_bytes += size
+                self._deliver(member.vm_id, target, command.msg)
+
+    def _lost(self, source, target):
+        return (source, target) in self.blocked or self.rng.random() < self.loss
+
+    def _deliver(self, sender, target, msg):
+        self._later(
+            target,
+            self.rng.uniform(*self.delay_s),
+            lambda: target.node.on_message(sender, msg, self.timer.now()),
+        )
+
+    def _ping(self, member):
+        peers = [vm for vm in self.members if vm != member.vm_id]
+        if not peers:
+            return []
+        target = self.members[self.rng.choice(peers)]
+        if not self._lost(member.vm_id, target.vm_id):
+            offsets = member.node.offsets()
+            self._later(
+                target,
+                self.rng.uniform(*self.delay_s),
+                lambda: target.node.peer_offsets(
+                    member.vm_id, offsets, self.timer.now()
+                ),
+            )
+        return []
+
+    def _read(self, member, command):
+        node, stream, now = member.node, command.stream, self.timer.now
+        if not (self.log.up and member.log_reachable):
+
+            def failed():
+                return node.on_read_failed(stream, now())
+
+            self._later(member, OUTAGE_DELAY_S, failed)
+            return
+        self.log.reads += 1
+        done = []
+
+        def answer():
+            if not done:
+                done.append(True)
+                self._later(member, LOG_DELAY_S, self._result(node, command))
+
+        if command.start >= self.log.end(stream) and command.wait_ms:
+            self.log.wait(stream, answer)
+            self.timer.subscribe(command.wait_ms / 1000, answer)
+        else:
+            answer()
+
+    def _result(self, node, command):
+        stream, now = command.stream, self.timer.now
+        kept = self.log.entries(stream)
+        first = kept[0].offset if kept else 0
+        if command.start < first:
+            return lambda: node.on_truncated(stream, first, now())
+        begin = command.start - first
+        found = kept[begin : begin + READ_LIMIT]
+        return lambda: node.on_read(stream, found, now(), now())
+
+    def _checkpoint(self, member, command):
+        for entry in split(command.record_id, command.data, EntryKind.CHECKPOINT):
+            if not member.log_reachable or not self.log.append(command.stream, entry):
+                return
--- a/dandelionarch/wire/streams.capnp
+++ b/dandelionarch/wire/streams.capnp
@@ -36,9 +36,10 @@
   sender @0 :Text;
 }
 
-struct OffsetsReply {
+struct StreamBeat {
   ready @0 :Bool;
-  offsets @1 :List(StreamOffset);
+  available @1 :Bool;
+  offsets @2 :List(StreamOffset);
 }
 
 struct Envelope {
@@ -47,6 +48,6 @@
     streamPull @1 :StreamPull;
     streamState @2 :StreamState;
     offsetsQuery @3 :OffsetsQuery;
-    offsetsReply @4 :OffsetsReply;
+    streamBeat @4 :StreamBeat;
   }
 }
