--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -38,6 +38,16 @@
         return [(host, int(port)) for host, _, port in pairs if host]
 
 
+class LogSection(_Section):
+    """`[log]`: how long the platform's log keeps records.
+
+    Checkpoints are appended at a quarter of it; 0 records means no limit by count.
+    """
+
+    retention_s: float = pydantic.Field(default=86_400.0, ge=10, le=31_536_000)
+    retention_records: int = pydantic.Field(default=0, ge=0, le=1_000_000_000)
+
+
 class LimitsSection(_Section):
     """`[limits]`: bounds on what one request or one daemon may take."""
 
@@ -48,20 +58,9 @@
 
 
 class OrdersSection(_Section):
-    """`[orders]`: how long an idempotency key is remembered.
-
-    `log_retention_s` is the log service's retention. It has to be at least twice
-    the window, so that a claim within the window is never truncated.
-    """
+    """`[orders]`: how long an idempotency key is remembered."""
 
     window_s: float = pydantic.Field(default=3600.0, ge=1, le=7 * 86_400)
-    log_retention_s: float = pydantic.Field(default=86_400.0, ge=2)
-
-    @pydantic.model_validator(mode="after")
-    def _retention_covers_window(self):
-        if self.log_retention_s < 2 * self.window_s:
-            raise ValueError("log_retention_s must be at least twice window_s")
-        return self
 
 
 class StatsdSection(_Section):
@@ -85,6 +84,7 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
     daemon: DaemonSection
+    log: LogSection = LogSection()
     limits: LimitsSection = LimitsSection()
     orders: OrdersSection = OrdersSection()
     statsd: StatsdSection = StatsdSection()
@@ -93,6 +93,7 @@
 
 SECTIONS = {
     "daemon": DaemonSection,
+    "log": LogSection,
     "limits": LimitsSection,
     "orders": OrdersSection,
     "statsd": StatsdSection,
@@ -126,4 +127,14 @@
         )
     if "daemon" not in parts:
         raise SettingsError(file, "daemon", "-", "section is missing")
-    return Settings(**parts)
+    settings = Settings(**parts)
+    _check_window(file, settings)
+    return settings
+
+
+def _check_window(file, settings):
+    # A claim that is truncated within the window could be granted a second time.
+    limit_s = settings.log.retention_s / 2
+    if settings.orders.window_s > limit_s:
+        problem = f"must be at most half of [log] retention_s ({limit_s:g} s)"
+        raise SettingsError(file, "orders", "window_s", problem)
