Add the state machine of ejection

States healthy, demoted, ejected and trial. An endpoint is ejected only after its claim has been read back as accepted, and stops being ejected before the command to append the release. No claim is made while a release is pending: a release that arrived after a later claim would leave an ejection that the fold does not count. A claim whose append has lost its reply may be accepted later; it is used while the endpoint is still demoted, and released otherwise.

Hold 5 s, doubled up to 300 s, halved per 10 minutes of health. Return takes 10 good runs in a row, one in flight, idempotent only; three bad runs on trial begin a new hold, as one straggler must not do so.

--- /dev/null
+++ b/dandelionarch/core/ejection.py
@@ -0,0 +1,230 @@
+"""Ejection of one endpoint: claims against the floor, hold and readmission."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+HOLD_MIN_S = 5.0
+HOLD_MAX_S = 300.0
+HOLD_GROWTH = 2.0
+HOLD_HALVES_EVERY_S = 600.0
+TRIAL_SUCCESSES = 10
+# One straggler, 1% of all runs, must not fail the trial of a recovered endpoint.
+TRIAL_MISSES = 3
+
+
+class State(Enum):
+    """What an agent does with its endpoint."""
+
+    HEALTHY = "healthy"
+    DEMOTED = "demoted"
+    EJECTED = "ejected"
+    TRIAL = "trial"
+
+
+class Waiting(Enum):
+    """What the log may hold of this endpoint that the agent has not read back."""
+
+    NOTHING = "nothing"
+    CLAIM = "claim"
+    RELEASE = "release"
+
+
+@dataclass(frozen=True, slots=True)
+class Demote:
+    """Command: attach the state demoted to replies."""
+
+
+@dataclass(frozen=True, slots=True)
+class Eject:
+    """Command: refuse all work but trials from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class Restore:
+    """Command: attach the state healthy to replies; begin tests anew."""
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Command: append a claim to the fleet stream."""
+
+    endpoint_id: str
+    incarnation: int
+    score: float
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Command: append the release of a claim; the endpoint is no longer ejected.
+
+    Repeat it until it has been read back: a release that arrived after a later
+    claim would let the endpoint stay ejected without a claim.
+    """
+
+    endpoint_id: str
+    incarnation: int
+
+
+class Ejection:
+    """State of one endpoint incarnation.
+
+    `state` is ejected or trial only between an accepted claim and its release or
+    revocation. Every event returns a list of commands, to be run in their order.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    incarnation : int
+    """
+
+    def __init__(self, endpoint_id, incarnation):
+        self.endpoint_id = endpoint_id
+        self.incarnation = incarnation
+        self.state = State.HEALTHY
+        self.hold_s = HOLD_MIN_S
+        self.log_available = True
+        self.score = 0.0
+        self._compared = False
+        self._waiting = Waiting.NOTHING
+        self._until = 0.0
+        self._healthy_since = None
+        self._trial_run = None
+        self._good = 0
+        self._bad = 0
+
+    def judged(self, score, compared, now):
+        """Handle the detector's verdict that the endpoint is unhealthy."""
+        if self.state is not State.HEALTHY:
+            return []
+        self._decay(now)
+        self.score, self._compared = score, compared
+        return self._demote(now) + self._claim(now)
+
+    def claim_accepted(self, now):
+        """Handle the read-back of this incarnation's accepted claim."""
+        if self._waiting is Waiting.RELEASE:
+            # The pending release stands after this claim in the log and ends it.
+            return []
+        self._waiting = Waiting.NOTHING
+        if self.state is State.DEMOTED:
+            self.state = State.EJECTED
+            self._until = max(self._until, now + HOLD_MIN_S)
+            self._restart_count()
+            return [Eject()]
+        return self._release() if self.state is State.HEALTHY else []
+
+    def claim_refused(self, now):
+        """Handle a claim that the floor or a failed append has stopped.
+
+        An append whose reply was lost may still be accepted later.
+        """
+        if self._waiting is Waiting.CLAIM:
+            self._waiting = Waiting.NOTHING
+        return []
+
+    def released(self, now):
+        """Handle the read-back of a release."""
+        if self._waiting is Waiting.RELEASE:
+            self._waiting = Waiting.NOTHING
+        return []
+
+    def claim_revoked(self, now):
+        """Handle the loss of an accepted claim: stop ejecting at once."""
+        if self.state not in (State.EJECTED, State.TRIAL):
+            return []
+        return self._demote(now)
+
+    def below_floor(self, now):
+        """Handle a view of live members below the floor: readmit without the log."""
+        if self.state not in (State.EJECTED, State.TRIAL):
+            return []
+        return self._demote(now) + self._release()
+
+    def tick(self, now):
+        """Handle the passing of time."""
+        if self.state is State.EJECTED and now >= self._until:
+            self.state = State.TRIAL
+            self._restart_count()
+        elif self.state is State.DEMOTED and now >= self._until:
+            bad, self._bad = self._bad, 0
+            self._until = now + self.hold_s
+            return self._claim(now) if bad else []
+        return []
+
+    def admits(self, idempotent):
+        """Return True if work may start now."""
+        if self.state is State.TRIAL:
+            return idempotent and self._trial_run is None
+        return self.state is not State.EJECTED
+
+    def run_admitted(self, run_id):
+        """Take note of a run that was let in."""
+        if self.state is State.TRIAL:
+            self._trial_run = run_id
+
+    def run_ended(self, run_id, good, now):
+        """Handle the end of a run while demoted or on trial.
+
+        `good` is True, False, or None if the run says nothing.
+        """
+        if self.state in (State.HEALTHY, State.EJECTED):
+            return []
+        if self.state is State.TRIAL:
+            if run_id != self._trial_run:
+                return []
+            self._trial_run = None
+        if good is None:
+            return []
+        return self._count_good(now) if good else self._count_bad(now)
+
+    def _count_good(self, now):
+        self._good += 1
+        due = self.state is State.TRIAL or now >= self._until
+        return self._restore(now) if due and self._good >= TRIAL_SUCCESSES else []
+
+    def _count_bad(self, now):
+        self._good = 0
+        self._bad += 1
+        if self.state is State.TRIAL and self._bad >= TRIAL_MISSES:
+            self.state = State.EJECTED
+            self._lengthen_hold(now)
+            return [Eject()]
+        return []
+
+    def _demote(self, now):
+        self.state = State.DEMOTED
+        self._lengthen_hold(now)
+        self._restart_count()
+        return [Demote()]
+
+    def _claim(self, now):
+        """Claim if peers confirmed the verdict and the log can be read back."""
+        if not (self._compared and self.log_available):
+            return []
+        if self._waiting is not Waiting.NOTHING:
+            return []
+        self._waiting = Waiting.CLAIM
+        return [Claim(self.endpoint_id, self.incarnation, self.score)]
+
+    def _restore(self, now):
+        claimed = self.state is State.TRIAL
+        self.state = State.HEALTHY
+        self._healthy_since = now
+        return [Restore()] + (self._release() if claimed else [])
+
+    def _release(self):
+        self._waiting = Waiting.RELEASE
+        return [Release(self.endpoint_id, self.incarnation)]
+
+    def _lengthen_hold(self, now):
+        self._until = now + self.hold_s
+        self.hold_s = min(HOLD_MAX_S, self.hold_s * HOLD_GROWTH)
+
+    def _decay(self, now):
+        if self._healthy_since is not None:
+            halvings = (now - self._healthy_since) / HOLD_HALVES_EVERY_S
+            self.hold_s = max(HOLD_MIN_S, self.hold_s / 2.0**halvings)
+
+    def _restart_count(self):
+        self._trial_run = None
+        self._good = self._bad = 0
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,221 @@
+"""Ejection state machine: claims, hold and readmission."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dandelionarch.core.ejection import (
+    HOLD_MAX_S,
+    HOLD_MIN_S,
+    TRIAL_MISSES,
+    TRIAL_SUCCESSES,
+    Claim,
+    Demote,
+    Eject,
+    Ejection,
+    Release,
+    Restore,
+    State,
+)
+
+EJECTING = (State.EJECTED, State.TRIAL)
+
+
+class FakeLog:
+    """Fleet stream of one endpoint: appends arrive late, reading lags behind."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.pending, self.records, self.read = [], [], 0
+        self.claimed = False
+        self.unread_revocation = False
+
+    def run(self, commands):
+        for command in commands:
+            if isinstance(command, Claim | Release):
+                self.pending.append(command)
+
+    def append(self, index):
+        """Append one pending record; claims may overtake each other."""
+        if not self.pending:
+            return
+        # A release is repeated until read back, and nothing is claimed before.
+        command = self.pending.pop(index % len(self.pending))
+        if isinstance(command, Release):
+            self.claimed = False
+            self.records.append("released")
+        else:
+            self.records.append("repeated" if self.claimed else "accepted")
+            self.claimed = True
+
+    def revoke(self):
+        if self.claimed:
+            self.claimed = False
+            self.unread_revocation = True
+            self.records.append("revoked")
+
+    def read_one(self, now):
+        if self.read == len(self.records):
+            return
+        record = self.records[self.read]
+        self.read += 1
+        machine = self.machine
+        if record == "accepted":
+            self.run(machine.claim_accepted(now))
+        elif record == "released":
+            self.run(machine.released(now))
+        elif record == "revoked":
+            self.unread_revocation = False
+            self.run(machine.claim_revoked(now))
+
+
+def apply(log, machine, op, arg, now):
+    """Apply one random event."""
+    if op == "judge":
+        log.run(machine.judged(arg, arg % 2 == 0, now))
+    elif op == "run" and machine.admits(True):
+        machine.run_admitted(now)
+        log.run(machine.run_ended(now, arg > 1, now))
+    elif op == "append":
+        log.append(arg)
+    elif op == "read":
+        log.read_one(now)
+    elif op == "lost reply":
+        log.run(machine.claim_refused(now))
+    elif op == "revoke":
+        log.revoke()
+    elif op == "below floor":
+        log.run(machine.below_floor(now))
+    log.run(machine.tick(now))
+
+
+OPS = st.sampled_from(
+    ["judge", "run", "append", "read", "lost reply", "revoke", "below floor", "wait"]
+)
+
+
+def ejected(now=0.0):
+    """Return a machine that is ejected by an accepted claim."""
+    machine = Ejection("w", 1)
+    assert [type(c) for c in machine.judged(1.0, True, now)] == [Demote, Claim]
+    assert machine.claim_accepted(now) == [Eject()]
+    return machine
+
+
+def on_trial():
+    """Return a machine on trial and the time."""
+    machine = ejected()
+    machine.tick(HOLD_MIN_S)
+    assert machine.state is State.TRIAL
+    return machine, HOLD_MIN_S
+
+
+class TestClaims:
+    """Nothing is ejected without a claim that stands in the log."""
+
+    @settings(derandomize=True, deadline=None, max_examples=300)
+    @given(
+        st.lists(
+            st.tuples(OPS, st.integers(0, 9), st.sampled_from([0.0, 0.5, 6.0, 400.0])),
+            max_size=60,
+        )
+    )
+    def test_ejected_only_between_claim_and_release(self, steps):
+        """Guards the floor against ejections that the fold does not count."""
+        machine, now = Ejection("w", 1), 0.0
+        log = FakeLog(machine)
+        for op, arg, delay_s in steps:
+            now += delay_s
+            apply(log, machine, op, arg, now)
+            if machine.state in EJECTING:
+                assert log.claimed or log.unread_revocation
+            assert HOLD_MIN_S <= machine.hold_s <= HOLD_MAX_S
+
+    def test_late_claim_behind_a_pending_release_is_not_used(self):
+        """Guards against a repeated claim that the pending release will end."""
+        machine = ejected()
+        assert Release("w", 1) in machine.below_floor(1.0)
+        assert machine.claim_accepted(2.0) == []
+        assert machine.state is State.DEMOTED
+
+    def test_no_claim_while_a_release_is_pending(self):
+        """Guards against a release that arrives after the claim that follows it."""
+        machine = ejected()
+        machine.below_floor(1.0)
+        machine.run_ended(1, False, 2.0)
+        assert machine.tick(20.0) == []
+        machine.released(21.0)
+        machine.run_ended(2, False, 22.0)
+        assert [type(c) for c in machine.tick(60.0)] == [Claim]
+
+    def test_claim_accepted_after_recovery_is_released(self):
+        """Guards against a claim that uses up the floor's headroom for nothing."""
+        machine = Ejection("w", 1)
+        machine.judged(1.0, True, 0.0)
+        machine.claim_refused(2.0)
+        for run in range(TRIAL_SUCCESSES):
+            machine.run_ended(run, True, 6.0)
+        assert machine.claim_accepted(7.0) == [Release("w", 1)]
+        assert machine.state is State.HEALTHY
+
+    def test_only_demoted_without_peers_or_log(self):
+        """Guards against a claim that nobody has confirmed or can read back."""
+        assert Ejection("w", 1).judged(1.0, False, 0.0) == [Demote()]
+        machine = Ejection("w", 1)
+        machine.log_available = False
+        assert machine.judged(1.0, True, 0.0) == [Demote()]
+        assert machine.admits(idempotent=False)
+
+    def test_refused_claim_is_repeated_only_while_unhealthy(self):
+        """Guards against a demoted endpoint that never asks again."""
+        machine = Ejection("w", 1)
+        machine.judged(1.0, True, 0.0)
+        machine.claim_refused(0.1)
+        assert machine.tick(5.0) == []
+        machine.run_ended(1, False, 6.0)
+        assert [type(c) for c in machine.tick(15.0)] == [Claim]
+
+
+class TestTrial:
+    """An ejected endpoint returns by a trickle of real work."""
+
+    def test_restores_before_it_releases(self):
+        """Guards against an ejection that outlasts its claim."""
+        machine, now = on_trial()
+        for run in range(TRIAL_SUCCESSES):
+            assert not machine.admits(idempotent=False)
+            assert machine.admits(idempotent=True)
+            machine.run_admitted(run)
+            assert not machine.admits(idempotent=True)
+            commands = machine.run_ended(run, True, now)
+        assert commands == [Restore(), Release("w", 1)]
+
+    def test_failed_trial_lengthens_the_hold(self):
+        """Guards against a flapping endpoint that is tried ever again."""
+        machine, now = on_trial()
+        for run in range(TRIAL_MISSES):
+            machine.run_admitted(run)
+            machine.run_ended(run, False, now)
+        assert machine.state is State.EJECTED
+        machine.tick(now + 2 * HOLD_MIN_S - 0.1)
+        assert machine.state is State.EJECTED
+        machine.tick(now + 2 * HOLD_MIN_S)
+        assert machine.state is State.TRIAL
+
+    def test_runs_from_before_the_ejection_do_not_count(self):
+        """Guards the limit of one trial in flight against older runs."""
+        machine, now = on_trial()
+        machine.run_admitted("trial")
+        machine.run_ended("older", True, now)
+        assert not machine.admits(idempotent=True)
+
+    def test_hold_decays_with_health(self):
+        """Guards against a hold that never becomes short again."""
+        machine, now = Ejection("w", 1), 0.0
+        for _ in range(10):
+            machine.judged(1.0, False, now)
+            now += HOLD_MAX_S
+            for run in range(TRIAL_SUCCESSES):
+                machine.run_ended(run, True, now)
+        assert machine.hold_s == HOLD_MAX_S
+        machine.judged(1.0, False, now + 1200.0)
+        assert machine.hold_s == HOLD_MAX_S / 2
