Bound retries by a budget and spread the callers' returns

Every refused request could be tried three times, and all refused callers were told to return within 1 to 3 s. Further attempts are now bounded to 10% of the first ones over 10 s, with a floor of 3. Redirects after refusals for load always draw on that budget, other proven refusals only at overload, so that a drain costs no request its redirect. Retry-After follows a schedule of returns at half the rate of recent answers, and is never below the agent's estimate.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -76,10 +76,21 @@
     rng : random.Random
         Source of the spread of `Retry-After`.
     may_retry : callable
-        Returns True if the retry budget allows another attempt now.
+        `may_retry(reason, proven)` returns True if the retry budget allows another
+        attempt now; `proven` says that the last one was not run.
+    retry_after : callable
+        `retry_after(least_s)` returns the `Retry-After` of a refusal in seconds.
     """
 
-    def __init__(self, work, choose, deadline, rng, may_retry=lambda: True):
+    def __init__(
+        self,
+        work,
+        choose,
+        deadline,
+        rng,
+        may_retry=lambda reason, proven: True,
+        retry_after=None,
+    ):
         self.work = work
         self.deadline = deadline
         self.attempts = 0
@@ -88,22 +99,25 @@
         self._choose = choose
         self._rng = rng
         self._may_retry = may_retry
+        self._retry_after = retry_after or self._spread
+        self._least_s = 0.0
         self._may_have_run = False
 
     def start(self, now):
         """Return the first command."""
         return self._dispatch(Reason.NO_ENDPOINT, now)
 
-    def not_run(self, reason, now):
+    def not_run(self, reason, now, retry_after_s=0.0):
         """Handle a proof that the current attempt was not run."""
-        return self._again(reason, now)
+        self._least_s = retry_after_s
+        return self._again(reason, now, proven=True)
 
     def failed(self, reason, now):
         """Handle an attempt that ended after the endpoint may have seen it."""
         self._may_have_run = True
         if not self.work.idempotent:
             return self._refuse(reason)
-        return self._again(reason, now)
+        return self._again(reason, now, proven=False)
 
     def answered(self):
         """Handle a whole answer."""
@@ -115,10 +129,10 @@
         self._may_have_run = True
         return self._refuse(Reason.DEADLINE)
 
-    def _again(self, reason, now):
+    def _again(self, reason, now, proven):
         if now >= self.deadline or self.attempts >= MAX_ATTEMPTS:
             return self._refuse(reason)
-        if not self._may_retry():
+        if not self._may_retry(reason, proven):
             return self._refuse(Reason.RETRY_BUDGET)
         return self._dispatch(reason, now)
 
@@ -134,5 +148,8 @@
     def _refuse(self, reason):
         self.finished = True
         outcome = Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
+        return Refuse(outcome, reason, self._retry_after(self._least_s))
+
+    def _spread(self, least_s):
         spread = self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
-        return Refuse(outcome, reason, RETRY_AFTER_MIN_S + spread)
+        return max(RETRY_AFTER_MIN_S, least_s) + spread
--- /dev/null
+++ b/dandelionarch/core/retries.py
@@ -0,0 +1,128 @@
+"""Retry budget of an ingress, and the spread of the callers' own retries."""
+
+import math
+from collections import deque
+
+from dandelionarch.core.outcome import Reason
+
+RETRY_SHARE = 0.1
+WINDOW_S = 10
+# Lets single retries pass while there are too few requests for a share of them.
+FLOOR = 3
+OVERLOAD_SHARE = 0.05
+RETURN_SHARE = 0.5
+RETURN_MIN_S = 1.0
+RETURN_MAX_S = 120.0
+RETURN_FLOOR_PER_S = 2.0
+
+# Refusals that say the fleet is short of capacity, not that one endpoint is away.
+LOAD_REASONS = frozenset(
+    {Reason.QUEUE_FULL, Reason.TOO_LATE, Reason.SHED, Reason.WORKER_REFUSED}
+)
+
+
+class SlidingCount:
+    """Count of events in the last `WINDOW_S` seconds, kept by whole seconds."""
+
+    def __init__(self):
+        self.total = 0
+        self._seconds = deque()
+
+    def add(self, now):
+        """Count one event."""
+        self.expire(now)
+        second = math.floor(now)
+        if not self._seconds or self._seconds[-1][0] != second:
+            self._seconds.append([second, 0])
+        self._seconds[-1][1] += 1
+        self.total += 1
+
+    def expire(self, now):
+        """Forget what has left the window."""
+        oldest = math.floor(now) - WINDOW_S
+        while self._seconds and self._seconds[0][0] <= oldest:
+            self.total -= self._seconds.popleft()[1]
+
+
+class RetryBudget:
+    """Bounds further attempts to a share of the first attempts.
+
+    Retries always draw on the budget. Redirects on a proven refusal draw on it when
+    the refusal was due to load, or while load refusals show an overload; one
+    endpoint's drain thus costs no request its redirect.
+    """
+
+    def __init__(self):
+        self._first = SlidingCount()
+        self._further = SlidingCount()
+        self._refused = SlidingCount()
+
+    def first(self, now):
+        """Take note of a request's first attempt."""
+        self._first.add(now)
+
+    def may_retry(self, now, reason, proven):
+        """Return True and count it if a further attempt is allowed.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        reason : Reason
+            Why the last attempt ended.
+        proven : bool
+            True if the last attempt is proven not to have run.
+        """
+        for count in (self._first, self._further, self._refused):
+            count.expire(now)
+        if reason in LOAD_REASONS:
+            self._refused.add(now)
+        if proven and reason not in LOAD_REASONS and not self.overloaded:
+            return True
+        if self._further.total + 1 > max(FLOOR, RETRY_SHARE * self._first.total):
+            return False
+        self._further.add(now)
+        return True
+
+    @property
+    def overloaded(self):
+        """Return True if many attempts of the window were refused for load."""
+        return self._refused.total > max(FLOOR, OVERLOAD_SHARE * self._first.total)
+
+
+class ReturnSchedule:
+    """Spreads the times at which refused callers are asked to return.
+
+    Returns are scheduled one after the other at half the rate of the answers given
+    lately, so that those refused at a crest come back as a trickle that leaves the
+    other half of the capacity to new requests.
+    """
+
+    def __init__(self):
+        self._answers = SlidingCount()
+        self._next = 0.0
+
+    def answered(self, now):
+        """Take note of an answer."""
+        self._answers.add(now)
+
+    def retry_after_s(self, now, rng, least_s=0.0):
+        """Return in how many seconds a refused caller may return.
+
+        Parameters
+        ----------
+        now : float
+            Time in seconds.
+        rng : random.Random
+            Source of the jitter.
+        least_s : float
+            An estimate from the agent below which a return is in vain.
+        """
+        self._answers.expire(now)
+        least_s = max(RETURN_MIN_S, least_s)
+        rate = max(RETURN_FLOOR_PER_S, RETURN_SHARE * self._answers.total / WINDOW_S)
+        self._next = max(self._next, now + least_s) + 1 / rate
+        delay_s = self._next - now
+        if delay_s > RETURN_MAX_S:
+            return rng.uniform(RETURN_MAX_S / 2, RETURN_MAX_S)
+        return max(least_s, delay_s + rng.uniform(-0.5, 0.5))
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -9,6 +9,7 @@
 from dandelionarch.core.ingress import Deliver, Dispatch, RequestLife
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
+from dandelionarch.core.retries import RetryBudget, ReturnSchedule
 from dandelionarch.core.selection import Candidate, TwoChoices, select
 from dandelionarch.core.world import Health
 from dandelionarch.daemon.agent import CHUNK_BYTES, WINDOW_BYTES
@@ -84,6 +85,8 @@
         self._directory = directory
         self._rng = rng or random.Random()
         self._policy = TwoChoices()
+        self._retries = RetryBudget()
+        self._returns = ReturnSchedule()
         self._attempt_ids = itertools.count(1)
         self._streams = {}
         self._in_flight = {}
@@ -113,15 +116,29 @@
         -------
         Answer or Refuse
         """
-        life = RequestLife(work, self._choose, deadline, self._rng)
         loop = asyncio.get_running_loop()
+        life = RequestLife(
+            work,
+            self._choose,
+            deadline,
+            self._rng,
+            lambda reason, proven: self._retries.may_retry(loop.time(), reason, proven),
+            self.retry_after_s,
+        )
+        self._retries.first(loop.time())
         command = life.start(loop.time())
         while isinstance(command, Dispatch):
             command = await self._attempt(life, work, req, command)
         if isinstance(command, Deliver):
+            self._returns.answered(loop.time())
             return life.answer
         return command
 
+    def retry_after_s(self, least_s=0.0):
+        """Return the `Retry-After` of a refusal given now, in seconds."""
+        now = asyncio.get_running_loop().time()
+        return self._returns.retry_after_s(now, self._rng, least_s)
+
     def _choose(self, service, tried):
         candidates = []
         own = self._directory.vms.get(self._network.vm_id)
@@ -205,7 +222,8 @@
         loop = asyncio.get_running_loop()
         msg = await stream.mailbox.get()
         if isinstance(msg, msgs.Refusal):
-            return life.not_run(Reason(msg.reason), loop.time()), True
+            least_s = msg.retry_after_ms / 1000
+            return life.not_run(Reason(msg.reason), loop.time(), least_s), True
         if isinstance(msg, msgs.Failure):
             return life.failed(Reason(msg.reason), loop.time()), True
         if isinstance(msg, LinkLost):
--- a/dandelionarch/measure/model.py
+++ b/dandelionarch/measure/model.py
@@ -192,7 +192,9 @@
             self._choose,
             deadline,
             self.rng,
-            lambda: self.retries.may_retry(model.timers.now()),
+            lambda reason, proven: self.retries.may_retry(
+                model.timers.now(), reason, proven
+            ),
         )
         reason = model.options.admit(self, work, now)
         if reason is not None:
--- a/dandelionarch/measure/options.py
+++ b/dandelionarch/measure/options.py
@@ -71,7 +71,7 @@
     def first(self, now):
         """Take note of a first attempt."""
 
-    def may_retry(self, now):
+    def may_retry(self, now, reason, proven):
         """Return True if a further attempt is allowed."""
         return True
 
--- /dev/null
+++ b/tests/test_retries.py
@@ -0,0 +1,82 @@
+"""Retry budget and the spread of returns."""
+
+import random
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dandelionarch.core.ingress import Dispatch, RequestLife, Work
+from dandelionarch.core.outcome import Outcome, Reason
+from dandelionarch.core.retries import FLOOR, RETRY_SHARE, RetryBudget, ReturnSchedule
+from dandelionarch.core.selection import Decision
+
+EVENTS = st.lists(
+    st.tuples(st.floats(0, 2.0), st.booleans(), st.booleans()), max_size=300
+)
+
+
+class TestRetryBudget:
+    """Further attempts stay under a share of the first ones."""
+
+    @settings(derandomize=True, deadline=None)
+    @given(EVENTS)
+    def test_never_exceeded(self, events):
+        """Guards against a storm of retries; load refusals are proven or not."""
+        budget, now, first, further = RetryBudget(), 0.0, [], []
+        for gap, is_first, proven in events:
+            now += gap * gap * 0.2
+            if is_first:
+                budget.first(now)
+                first.append(now)
+            elif budget.may_retry(now, Reason.QUEUE_FULL, proven):
+                further.append(now)
+                # Whole seconds are kept, so the window may be up to 1 s off.
+                firsts = sum(t > now - 11 for t in first)
+                recent = sum(t > now - 9 for t in further)
+                assert recent <= max(FLOOR, RETRY_SHARE * firsts)
+
+    def test_drain_is_redirected_but_not_at_overload(self):
+        """Guards redirects after a drain, and their bound at overload."""
+        budget = RetryBudget()
+        for _ in range(100):
+            budget.first(0.0)
+        allowed = [budget.may_retry(0.0, Reason.DRAINING, True) for _ in range(50)]
+        assert all(allowed)
+        for _ in range(50):
+            budget.may_retry(0.0, Reason.QUEUE_FULL, True)
+        assert not budget.may_retry(0.0, Reason.DRAINING, True)
+
+    def test_order_is_not_sent_twice_without_proof(self):
+        """Guards at-most-once: a failed order gets no second attempt."""
+        endpoint = type("E", (), {"endpoint_id": "w"})()
+        chosen = type("C", (), {"endpoint": endpoint})()
+        work = Work("r", "c", "s", "route", "kind", False, 0)
+
+        def life():
+            return RequestLife(work, lambda *_: Decision(chosen), 9.0, random.Random(1))
+
+        for end, kind in (("not_run", Dispatch), ("failed", None)):
+            order = life()
+            order.start(0.0)
+            following = getattr(order, end)(Reason.LINK_LOST, 0.1)
+            if kind is None:
+                assert following.outcome is Outcome.UNKNOWN
+            else:
+                assert isinstance(following, kind)
+
+
+class TestReturnSchedule:
+    """Callers refused at a crest do not return as one wave."""
+
+    def test_returns_are_spread_below_the_rate_of_answers(self):
+        """Guards against a second wave: 2,000 refused within one second."""
+        schedule, rng = ReturnSchedule(), random.Random(1)
+        for i in range(1000):
+            schedule.answered(i / 100)
+        returns = Counter()
+        for i in range(2000):
+            now = 10 + i / 2000
+            returns[int(now + schedule.retry_after_s(now, rng, 0.2))] += 1
+        assert max(returns.values()) <= 60
+        assert min(returns) >= 11
