Fold the fleet stream and judge ejection claims against the floor

The fold of the stream `fleet` records announcements, withdrawals, claims and releases. A claim is accepted iff announced - held claims - 1 >= floor at its place in the log. Floors come from `Floors` records in the same stream, so readers at different configuration revisions reach the same verdict. Withdrawals and raised floors revoke the claims on the least unhealthy endpoints; a revoked claim counts as an ejection until its agent has released it.

The model found or motivated these further rules: a release names a claim number, not an endpoint; an announcement after a withdrawal must have read it; a claim is not valid before the announcement that it rests on.

--- /dev/null
+++ b/dandelionarch/core/claims.py
@@ -0,0 +1,245 @@
+"""The agent's side of the fleet stream: its announcements and ejection claims.
+
+An endpoint is ejected only between reading its claim back as accepted and writing
+the `Readmit` of that claim. The holder reads no clock and needs none: a pause of any
+length leaves its claims in the log, where they keep counting as ejections.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from dandelionarch.core import fleet_records as records
+from dandelionarch.core.fleet import FleetVerdict
+
+
+class ClaimState(Enum):
+    """Where a claim of this agent stands."""
+
+    ASKED = "asked"
+    EJECTED = "ejected"
+    RELEASED = "released"
+
+
+@dataclass(frozen=True, slots=True)
+class Append:
+    """Command: append a fleet record."""
+
+    record: object
+
+
+@dataclass(frozen=True, slots=True)
+class Decided:
+    """Command: tell the caller of `claim` the log's verdict."""
+
+    endpoint_id: str
+    number: int
+    verdict: FleetVerdict
+
+
+@dataclass(frozen=True, slots=True)
+class StopEjecting:
+    """Command: give the endpoint work again; its ejection was revoked."""
+
+    endpoint_id: str
+    incarnation: int
+    reason: str
+
+
+@dataclass(slots=True)
+class OwnClaim:
+    """A claim of this agent with its state."""
+
+    record: records.EjectClaim
+    state: ClaimState = ClaimState.ASKED
+
+
+class ClaimHolder:
+    """Announcements and claims of one VM incarnation: events in, commands out.
+
+    Parameters
+    ----------
+    vm_id, incarnation, host, gossip_port
+        As in `Announce`.
+    """
+
+    def __init__(self, vm_id, incarnation, host, gossip_port):
+        self.vm_id = vm_id
+        self.incarnation = incarnation
+        self.endpoints = ()
+        self._host = host
+        self._gossip_port = gossip_port
+        self._version = 0
+        self._number = 0
+        self._claims = {}
+
+    def ejected(self):
+        """Return the set of (endpoint id, incarnation) that are ejected now."""
+        return {
+            (c.record.endpoint_id, c.record.incarnation)
+            for c in self._claims.values()
+            if c.state is ClaimState.EJECTED
+        }
+
+    def announce(self, endpoints, read_to):
+        """Return the commands that make `endpoints` the announced ones.
+
+        Endpoints that are no longer announced stop being ejected first: their claims
+        are dropped by the fold when it reads the new announcement.
+        """
+        gone = set(self.endpoints) - set(endpoints)
+        gone_ids = {(e.endpoint_id, e.incarnation) for e in gone}
+
+        def is_gone(own):
+            return (own.record.endpoint_id, own.record.incarnation) in gone_ids
+
+        commands = self._stop(is_gone, "not announced") + self._readmit(is_gone)
+        self.endpoints = tuple(endpoints)
+        self._version += 1
+        record = records.Announce(
+            self.vm_id,
+            self.incarnation,
+            self._version,
+            read_to,
+            self._host,
+            self._gossip_port,
+            self.endpoints,
+        )
+        return [*commands, Append(record)]
+
+    def claim(self, endpoint_id, incarnation, service, score):
+        """Return (number, commands) that ask for the ejection of an endpoint."""
+        self._number += 1
+        record = records.EjectClaim(
+            self.vm_id,
+            self.incarnation,
+            self._version,
+            self._number,
+            endpoint_id,
+            incarnation,
+            service,
+            score,
+        )
+        self._claims[self._number] = OwnClaim(record)
+        return self._number, [Append(record)]
+
+    def release(self, endpoint_id, incarnation):
+        """Stop ejecting an endpoint, or take back a claim still asked for."""
+        return self._readmit(
+            lambda c: (
+                (c.record.endpoint_id, c.record.incarnation)
+                == (endpoint_id, incarnation)
+            )
+        )
+
+    def give_up(self, number):
+        """Take back a claim whose append was not confirmed in time."""
+        return self._readmit(lambda c: c.record.number == number)
+
+    def stop_all(self, reason):
+        """Stop every ejection, as when the platform's floor cannot be known."""
+        return self._stop(lambda c: True, reason) + self.unconfirmed()
+
+    def unconfirmed(self):
+        """Return the appends of all `Readmit` records not yet read back.
+
+        They are repeated until read back, because a claim that is not released takes
+        up the headroom of its service.
+        """
+        return [
+            Append(records.Readmit(self.vm_id, self.incarnation, number))
+            for number, own in self._claims.items()
+            if own.state is ClaimState.RELEASED
+        ]
+
+    def applied(self, change):
+        """Handle one record of the fleet stream as this VM's fold applied it."""
+        rec = change.record
+        commands = []
+        if isinstance(rec, records.EjectClaim) and self._is_mine(
+            rec.vm_incarnation, rec
+        ):
+            commands += self._claim_read(rec, change.verdict)
+        elif isinstance(rec, records.Readmit) and self._is_mine(
+            rec.vm_incarnation, rec
+        ):
+            self._readmit_read(rec.number)
+        elif self._is_own_withdrawal(change):
+            commands += self._withdrawn()
+        for claim in change.revoked:
+            if self._is_mine(claim.vm_incarnation, claim):
+                commands += self._revoked(claim)
+        return commands
+
+    def resync(self, fold):
+        """Compare with a fold that was restored past records that nobody read."""
+        commands = []
+        for number, own in list(self._claims.items()):
+            held = fold.held(own.record.endpoint_id, own.record.service)
+            found = held is not None and held.claim == own.record
+            if found and own.state is ClaimState.ASKED:
+                change = FleetVerdict.ACCEPTED
+                commands += self._claim_read(own.record, change)
+            if found and held.revoked:
+                commands += self._revoked(own.record)
+            elif not found and own.state is ClaimState.EJECTED:
+                commands += self._stop(lambda c, own=own: c is own, "claim is gone")
+            elif not found and own.state is ClaimState.RELEASED:
+                del self._claims[number]
+        return commands
+
+    def _is_own_withdrawal(self, change):
+        return (
+            isinstance(change.record, records.Withdraw)
+            and change.record.vm_id == self.vm_id
+            and change.verdict is FleetVerdict.ACCEPTED
+        )
+
+    def _is_mine(self, vm_incarnation, rec):
+        return rec.vm_id == self.vm_id and vm_incarnation == self.incarnation
+
+    def _claim_read(self, rec, verdict):
+        own = self._claims.get(rec.number)
+        if own is None or own.state is not ClaimState.ASKED:
+            if own is None and verdict is FleetVerdict.ACCEPTED:
+                self._claims[rec.number] = OwnClaim(rec, ClaimState.RELEASED)
+            return self.unconfirmed() if verdict is FleetVerdict.ACCEPTED else []
+        if verdict is FleetVerdict.ACCEPTED:
+            own.state = ClaimState.EJECTED
+        else:
+            del self._claims[rec.number]
+        return [Decided(rec.endpoint_id, rec.number, verdict)]
+
+    def _readmit_read(self, number):
+        own = self._claims.get(number)
+        if own is not None and own.state is ClaimState.RELEASED:
+            del self._claims[number]
+
+    def _withdrawn(self):
+        commands = self._stop(lambda c: True, "withdrawn")
+        self._claims = {
+            n: c for n, c in self._claims.items() if c.state is ClaimState.ASKED
+        }
+        return commands
+
+    def _revoked(self, claim):
+        return self._stop(
+            lambda c: c.record.number == claim.number, "revoked"
+        ) + self._readmit(lambda c: c.record.number == claim.number)
+
+    def _stop(self, which, reason):
+        commands = []
+        for own in self._claims.values():
+            if own.state is ClaimState.EJECTED and which(own):
+                own.state = ClaimState.RELEASED
+                rec = own.record
+                commands.append(StopEjecting(rec.endpoint_id, rec.incarnation, reason))
+        return commands
+
+    def _readmit(self, which):
+        commands = []
+        for number, own in self._claims.items():
+            if which(own):
+                own.state = ClaimState.RELEASED
+                readmit = records.Readmit(self.vm_id, self.incarnation, number)
+                commands.append(Append(readmit))
+        return commands
--- /dev/null
+++ b/dandelionarch/core/fleet.py
@@ -0,0 +1,326 @@
+"""Fold of the `fleet` stream: announced endpoints, claims and the floor.
+
+Floors come from the configuration, which is another stream, and readers may be at
+different revisions of it. The only floors that this fold knows are therefore those
+of a `Floors` record in the fleet stream itself, appended when an accepted revision
+changes a floor. Every reader reaches the same verdict on a claim from the same
+prefix of this one stream, whatever configuration revision it has.
+"""
+
+import json
+from collections import OrderedDict
+from dataclasses import asdict, dataclass, field
+from enum import Enum
+
+from dandelionarch.core import fleet_records as records
+from dandelionarch.core.lists import Floor
+from dandelionarch.core.streams import Fold
+from dandelionarch.ids import Offset
+
+FLEET_STREAM = "fleet"
+
+# Withdrawals kept to judge late announcements: more than a day of replacements at
+# the target (2,400 a day).
+MAX_WITHDRAWALS = 4096
+
+
+class FleetVerdict(Enum):
+    """What the log's order makes of a fleet record."""
+
+    ACCEPTED = "accepted"
+    OLD = "old"
+    UNREAD_WITHDRAWAL = "unread_withdrawal"
+    NOT_ANNOUNCED = "not_announced"
+    ALREADY_CLAIMED = "already_claimed"
+    NO_FLOOR = "no_floor"
+    FLOOR = "floor"
+    INVALID = "invalid"
+
+
+@dataclass(frozen=True, slots=True)
+class FleetChange:
+    """What one record did: its verdict, and the claims that it revoked."""
+
+    record: object
+    verdict: FleetVerdict
+    revoked: tuple = ()
+
+
+@dataclass(slots=True)
+class HeldClaim:
+    """An accepted claim that its agent has not released.
+
+    A revoked claim still counts as an ejection when a new claim is judged, because
+    its agent may not have read the revocation.
+    """
+
+    claim: records.EjectClaim
+    revoked: bool = False
+
+
+@dataclass(slots=True)
+class AnnouncedVm:
+    """The latest accepted announcement of a VM and its last claim's number."""
+
+    announce: records.Announce
+    last_claim: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Withdrawal:
+    """Where in the stream a VM incarnation was withdrawn."""
+
+    incarnation: int
+    version: int
+    offset: Offset
+
+
+@dataclass(slots=True)
+class ServiceState:
+    """Announced endpoints and held claims of one service, by endpoint id."""
+
+    announced: dict = field(default_factory=dict)
+    claims: dict = field(default_factory=dict)
+
+
+class FleetFold(Fold):
+    """Announced endpoints and accepted claims as a function of the stream.
+
+    Attributes
+    ----------
+    vms : dict of VmId to AnnouncedVm
+    services : dict of ServiceName to ServiceState
+    floors : dict of ServiceName to Floor
+    floors_revision : int
+        Configuration revision of `floors`; 0 before the first `Floors` record.
+    next_offset : Offset
+        Offset after the last record that was folded.
+    """
+
+    stream = FLEET_STREAM
+
+    def __init__(self):
+        self._clear()
+
+    def _clear(self):
+        self.vms = {}
+        self.services = {}
+        self.floors = {}
+        self.floors_revision = 0
+        self.next_offset = Offset(0)
+        self._withdrawals = OrderedDict()
+        self._forgotten_offset = Offset(-1)
+
+    def apply(self, record):
+        """Fold one record and return its `FleetChange`."""
+        self.next_offset = Offset(record.offset + 1)
+        try:
+            rec = records.from_bytes(record.data)
+        except ValueError:
+            return FleetChange(None, FleetVerdict.INVALID)
+        handler = getattr(self, f"_apply_{type(rec).__name__.lower()}")
+        verdict, touched = handler(rec, record.offset)
+        return FleetChange(rec, verdict, self._revoke(touched))
+
+    def floor_count(self, service):
+        """Return the floor of a service in endpoints, or None if none is known."""
+        floor = self.floors.get(service)
+        if floor is None:
+            return None
+        state = self.services.get(service)
+        return floor.count(len(state.announced) if state else 0)
+
+    def headroom(self, service):
+        """Return how many more claims would be accepted, or 0 without a floor."""
+        floor = self.floor_count(service)
+        state = self.services.get(service)
+        if floor is None or state is None:
+            return 0
+        return max(0, len(state.announced) - len(state.claims) - floor)
+
+    def held(self, endpoint_id, service):
+        """Return the `HeldClaim` on an endpoint or None."""
+        state = self.services.get(service)
+        return None if state is None else state.claims.get(endpoint_id)
+
+    def addresses(self):
+        """Return (host, gossip port) of every announced VM."""
+        return [(v.announce.host, v.announce.gossip_port) for v in self.vms.values()]
+
+    def _service(self, service):
+        state = self.services.get(service)
+        if state is None:
+            state = self.services[service] = ServiceState()
+        return state
+
+    def _apply_announce(self, rec, offset):
+        verdict = self._judge_announce(rec)
+        if verdict is not FleetVerdict.ACCEPTED:
+            return verdict, ()
+        known = self.vms.get(rec.vm_id)
+        last_claim = 0
+        touched = {e.service for e in rec.endpoints}
+        if known is not None:
+            touched |= {e.service for e in known.announce.endpoints}
+            same = known.announce.incarnation == rec.incarnation
+            last_claim = known.last_claim if same else 0
+            self._drop(known.announce, rec.endpoints if same else ())
+        for e in rec.endpoints:
+            owned = (rec.vm_id, e.incarnation)
+            self._service(e.service).announced[e.endpoint_id] = owned
+        self.vms[rec.vm_id] = AnnouncedVm(rec, last_claim)
+        self._withdrawals.pop(rec.vm_id, None)
+        return verdict, touched
+
+    def _judge_announce(self, rec):
+        known = self.vms.get(rec.vm_id)
+        key = (rec.incarnation, rec.version)
+        if known is not None:
+            newest = (known.announce.incarnation, known.announce.version)
+            return FleetVerdict.ACCEPTED if key > newest else FleetVerdict.OLD
+        # The claims of a withdrawn VM are dropped. Its agent stops all ejections when
+        # it reads the withdrawal, so an announcement written before that is refused:
+        # it would bring back endpoints that are ejected without a claim.
+        gone = self._withdrawals.get(rec.vm_id)
+        if gone is None:
+            unread = rec.read_to <= self._forgotten_offset
+        elif key <= (gone.incarnation, gone.version):
+            return FleetVerdict.OLD
+        else:
+            unread = rec.read_to <= gone.offset
+        return FleetVerdict.UNREAD_WITHDRAWAL if unread else FleetVerdict.ACCEPTED
+
+    def _drop(self, announce, keep):
+        """Drop a VM's endpoints; claims on the incarnations in `keep` stay."""
+        kept = set(keep)
+        for e in announce.endpoints:
+            state = self._service(e.service)
+            owner = state.announced.get(e.endpoint_id)
+            if owner is not None and owner[0] == announce.vm_id:
+                del state.announced[e.endpoint_id]
+            held = state.claims.get(e.endpoint_id)
+            mine = held is not None and held.claim.vm_id == announce.vm_id
+            if mine and e not in kept:
+                del state.claims[e.endpoint_id]
+
+    def _apply_withdraw(self, rec, offset):
+        known = self.vms.get(rec.vm_id)
+        if known is None or known.announce.incarnation > rec.incarnation:
+            return FleetVerdict.OLD, ()
+        self._drop(known.announce, ())
+        del self.vms[rec.vm_id]
+        self._withdrawals[rec.vm_id] = Withdrawal(
+            known.announce.incarnation, known.announce.version, offset
+        )
+        if len(self._withdrawals) > MAX_WITHDRAWALS:
+            _, oldest = self._withdrawals.popitem(last=False)
+            self._forgotten_offset = max(self._forgotten_offset, oldest.offset)
+        return FleetVerdict.ACCEPTED, {e.service for e in known.announce.endpoints}
+
+    def _apply_ejectclaim(self, rec, offset):
+        verdict = self._judge_claim(rec)
+        vm = self.vms.get(rec.vm_id)
+        if vm is not None and vm.announce.incarnation == rec.vm_incarnation:
+            vm.last_claim = max(vm.last_claim, rec.number)
+        if verdict is FleetVerdict.ACCEPTED:
+            self._service(rec.service).claims[rec.endpoint_id] = HeldClaim(rec)
+        return verdict, ()
+
+    def _judge_claim(self, rec):
+        vm = self.vms.get(rec.vm_id)
+        state = self.services.get(rec.service)
+        if vm is None or vm.announce.incarnation != rec.vm_incarnation:
+            return FleetVerdict.NOT_ANNOUNCED
+        if rec.number <= vm.last_claim:
+            return FleetVerdict.OLD
+        if vm.announce.version < rec.version or state is None:
+            return FleetVerdict.NOT_ANNOUNCED
+        if state.announced.get(rec.endpoint_id) != (rec.vm_id, rec.incarnation):
+            return FleetVerdict.NOT_ANNOUNCED
+        if rec.endpoint_id in state.claims:
+            return FleetVerdict.ALREADY_CLAIMED
+        floor = self.floor_count(rec.service)
+        if floor is None:
+            return FleetVerdict.NO_FLOOR
+        if not self._keeps_floor(state, floor):
+            return FleetVerdict.FLOOR
+        return FleetVerdict.ACCEPTED
+
+    def _keeps_floor(self, state, floor):
+        return len(state.announced) - len(state.claims) - 1 >= floor
+
+    def _apply_readmit(self, rec, offset):
+        vm = self.vms.get(rec.vm_id)
+        if vm is None or vm.announce.incarnation != rec.vm_incarnation:
+            return FleetVerdict.OLD, ()
+        for e in vm.announce.endpoints:
+            claims = self._service(e.service).claims
+            held = claims.get(e.endpoint_id)
+            if held is not None and held.claim.number == rec.number:
+                del claims[e.endpoint_id]
+                return FleetVerdict.ACCEPTED, ()
+        return FleetVerdict.OLD, ()
+
+    def _apply_floors(self, rec, offset):
+        if rec.revision <= self.floors_revision:
+            return FleetVerdict.OLD, ()
+        self.floors_revision = rec.revision
+        self.floors = {name: Floor(amount, unit) for name, amount, unit in rec.floors}
+        return FleetVerdict.ACCEPTED, list(self.services)
+
+    def _revoke(self, services):
+        """Revoke the least unhealthy claims until each service has its floor."""
+        revoked = []
+        for service in sorted(services):
+            state = self._service(service)
+            floor = self.floor_count(service)
+            if floor is None:
+                floor = len(state.announced)
+            active = [h for h in state.claims.values() if not h.revoked]
+            active.sort(key=lambda h: (h.claim.score, h.claim.endpoint_id))
+            short = floor - (len(state.announced) - len(active))
+            for held in active[: max(0, short)]:
+                held.revoked = True
+                revoked.append(held.claim)
+            if not state.announced and not state.claims:
+                del self.services[service]
+        return tuple(revoked)
+
+    def snapshot(self):
+        body = {
+            "next": self.next_offset,
+            "forgotten": self._forgotten_offset,
+            "revision": self.floors_revision,
+            "floors": [[n, f.amount, f.unit] for n, f in self.floors.items()],
+            "vms": [
+                [records.to_bytes(v.announce).decode(), v.last_claim]
+                for v in self.vms.values()
+            ],
+            "withdrawals": [
+                [vm, *asdict(w).values()] for vm, w in self._withdrawals.items()
+            ],
+            "claims": [
+                [records.to_bytes(h.claim).decode(), h.revoked]
+                for _, state in sorted(self.services.items())
+                for _, h in sorted(state.claims.items())
+            ],
+        }
+        return json.dumps(body, separators=(",", ":")).encode()
+
+    def restore(self, data):
+        body = json.loads(data)
+        self._clear()
+        self.floors_revision = body["revision"]
+        self.floors = {name: Floor(n, unit) for name, n, unit in body["floors"]}
+        for text, last_claim in body["vms"]:
+            announce = records.from_bytes(text)
+            self._apply_announce(announce, 0)
+            self.vms[announce.vm_id].last_claim = last_claim
+        for text, revoked in body["claims"]:
+            claim = records.from_bytes(text)
+            claims = self._service(claim.service).claims
+            claims[claim.endpoint_id] = HeldClaim(claim, revoked)
+        for vm, *row in body["withdrawals"]:
+            self._withdrawals[vm] = Withdrawal(*row)
+        self._forgotten_offset = Offset(body["forgotten"])
+        self.next_offset = Offset(body["next"])
