Publish and amend the lists by difference

Publications carry full lists or a difference of sections, and are accepted iff their base revision is current at their place in the log. A publication of full lists is turned into a difference on the revision that it is based on, so daemons parse only the sections that differ. dandelionctl gains amend, show, history and drain; publish and amend repeat an append without a reply under the same id and report accepted, lost the race, refused or platform unavailable, the last one as unknown only if the last part may have reached the log.

With a control port, an outage closes the log's port, so that clients see a refused connection instead of a reset.

--- a/dandelionarch/core/config.py
+++ b/dandelionarch/core/config.py
@@ -1,15 +1,21 @@
 """Publications in the log and the verdict that every reader reaches on them."""
 
 import json
-from dataclasses import dataclass, field
+import zlib
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
+from dandelionarch.core.amend import Difference, amend, difference, sections_of
 from dandelionarch.core.lists import Lists, parse_lists
 from dandelionarch.core.streams import Fold
-from dandelionarch.errors import ListError
-from dandelionarch.ids import RecordId, Revision
+from dandelionarch.errors import ListError, PublicationError
+from dandelionarch.ids import Offset, RecordId, Revision
 
 CONFIG_STREAM = "config"
+HISTORY_DECISIONS = 1000
+# Larger differences are kept in the history by their number of sections only.
+HISTORY_DIFFERENCE_LINES = 50
+MAX_PUBLICATION_BYTES = 64 << 20
 
 
 class Verdict(Enum):
@@ -18,55 +24,102 @@
     ACCEPTED = "accepted"
     LOST_RACE = "lost_race"
     REFUSED = "refused"
-    REPEATED = "repeated"
 
 
 @dataclass(frozen=True, slots=True)
 class Publication:
-    """A full version of both lists that amends `base_revision`."""
+    """A new version of the lists that amends `base_revision`.
+
+    Attributes
+    ----------
+    lists : tuple of str or None
+        Full texts of plans and allowances.
+    difference : Difference or None
+        What to change, if the lists are not given in full.
+    """
 
-    record_id: RecordId
     base_revision: Revision
     author: str
-    plans: str
-    allowances: str
+    lists: tuple | None = None
+    difference: Difference | None = None
 
     def to_bytes(self):
         """Return the record's content."""
-        body = {name: getattr(self, name) for name in self.__slots__}
-        return json.dumps(body).encode()
+        body = {"base_revision": self.base_revision, "author": self.author}
+        if self.lists is not None:
+            body["lists"] = list(self.lists)
+        else:
+            body["difference"] = self.difference.to_json()
+        return zlib.compress(json.dumps(body).encode())
 
     @classmethod
     def from_bytes(cls, data):
-        """Return the publication in a record's content."""
-        return cls(**json.loads(data))
+        """Return the publication in a record's content.
+
+        Raises
+        ------
+        PublicationError
+            If the content is not a publication.
+        """
+        try:
+            inflater = zlib.decompressobj()
+            body = json.loads(inflater.decompress(data, MAX_PUBLICATION_BYTES))
+            base, author = int(body["base_revision"]), str(body["author"])
+            if "lists" in body:
+                plans, allowances = body["lists"]
+                return cls(Revision(base), author, (str(plans), str(allowances)))
+            diff = Difference.from_json(body["difference"])
+        except (zlib.error, ValueError, KeyError, TypeError, AttributeError) as exc:
+            raise PublicationError(f"not a publication: {exc}") from exc
+        return cls(Revision(base), author, None, diff)
+
+    def applied_to(self, lists):
+        """Return the lists after this publication, or raise `ListError`."""
+        if self.lists is not None:
+            return parse_lists(*self.lists)
+        return amend(lists, self.difference)
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """The verdict on one publication, the same for every reader.
+
+    `revision` is the one in force after it; `changes` counts the sections that
+    differ, whether or not `difference` is still kept.
+    """
+
+    record_id: RecordId
+    offset: Offset
+    time_s: float
+    verdict: Verdict
+    revision: Revision
+    base_revision: Revision
+    author: str
+    reason: str = ""
+    changes: int = 0
+    difference: Difference | None = None
+
+    def to_json(self):
+        """Return the decision as JSON values."""
+        body = {name: getattr(self, name) for name in self.__slots__}
+        body["verdict"] = self.verdict.value
+        body["difference"] = self.difference and self.difference.to_json()
+        return body
+
+    @classmethod
+    def from_json(cls, body):
+        """Return the decision in JSON values."""
+        diff = body["difference"] and Difference.from_json(body["difference"])
+        return cls(**{**body, "verdict": Verdict(body["verdict"]), "difference": diff})
 
 
 @dataclass
 class ConfigState:
-    """The accepted configuration after a prefix of the log."""
+    """The accepted configuration and the latest decisions by record id."""
 
     revision: Revision = Revision(0)
     lists: Lists = field(default_factory=Lists)
-    verdicts: dict = field(default_factory=dict)
-
-    def apply(self, pub):
-        """Fold one publication; return its `Verdict`."""
-        if pub.record_id in self.verdicts:
-            return Verdict.REPEATED
-        verdict = self._judge(pub)
-        self.verdicts[pub.record_id] = verdict
-        return verdict
-
-    def _judge(self, pub):
-        if pub.base_revision != self.revision:
-            return Verdict.LOST_RACE
-        try:
-            self.lists = parse_lists(pub.plans, pub.allowances)
-        except ListError:
-            return Verdict.REFUSED
-        self.revision = Revision(self.revision + 1)
-        return Verdict.ACCEPTED
+    decisions: dict = field(default_factory=dict)
 
 
 class ConfigFold(Fold):
@@ -76,30 +129,73 @@
 
     def __init__(self):
         self.state = ConfigState()
-        self._last = None
 
     def apply(self, record):
-        """Fold one publication and return its `Verdict`, or None if unreadable."""
+        """Fold one publication and return its `Decision`."""
         try:
             pub = Publication.from_bytes(record.data)
-        except (ValueError, TypeError):
-            return None
-        verdict = self.state.apply(pub)
-        if verdict is Verdict.ACCEPTED:
-            self._last = pub
-        return verdict
+        except PublicationError as exc:
+            pub = Publication(Revision(-1), "?")
+            decision = self._decision(record, pub, Verdict.REFUSED, str(exc))
+        else:
+            decision = self._judge(record, pub)
+        self._remember(decision)
+        return decision
 
     def snapshot(self):
-        """Return the last accepted publication and its revision."""
-        last = self._last
-        lists = [last.plans, last.allowances] if last else None
-        return json.dumps([self.state.revision, lists]).encode()
+        """Return the accepted lists and the decisions."""
+        state = self.state
+        body = {
+            "revision": state.revision,
+            "sections": sections_of(state.lists),
+            "decisions": [d.to_json() for d in state.decisions.values()],
+        }
+        return json.dumps(body).encode()
 
     def restore(self, data):
         """Replace the state by a snapshot's."""
-        revision, lists = json.loads(data)
-        state = ConfigState(Revision(revision))
-        if lists:
-            state.lists = parse_lists(*lists)
-            self._last = Publication(RecordId(""), Revision(0), "", *lists)
-        self.state = state
+        body = json.loads(data)
+        try:
+            lists = amend(Lists(), Difference(set=body["sections"]))
+        except ListError as exc:
+            raise ValueError(str(exc)) from exc
+        decisions = [Decision.from_json(d) for d in body["decisions"]]
+        self.state = ConfigState(
+            Revision(body["revision"]), lists, {d.record_id: d for d in decisions}
+        )
+
+    def _judge(self, record, pub):
+        state = self.state
+        if pub.base_revision != state.revision:
+            reason = f"based on revision {pub.base_revision}, not on {state.revision}"
+            return self._decision(record, pub, Verdict.LOST_RACE, reason)
+        try:
+            lists = pub.applied_to(state.lists)
+        except ListError as exc:
+            return self._decision(record, pub, Verdict.REFUSED, str(exc))
+        diff = pub.difference or difference(state.lists, lists)
+        state.lists = lists
+        state.revision = Revision(state.revision + 1)
+        return self._decision(record, pub, Verdict.ACCEPTED, "", diff)
+
+    def _decision(self, record, pub, verdict, reason, diff=None):
+        return Decision(
+            record.record_id,
+            record.offset,
+            record.time_s,
+            verdict,
+            self.state.revision,
+            pub.base_revision,
+            pub.author,
+            reason,
+            len(diff.titles) if diff else 0,
+            diff,
+        )
+
+    def _remember(self, decision):
+        if decision.changes > HISTORY_DIFFERENCE_LINES:
+            decision = replace(decision, difference=None)
+        decisions = self.state.decisions
+        decisions[decision.record_id] = decision
+        if len(decisions) > HISTORY_DECISIONS:
+            del decisions[next(iter(decisions))]
--- a/dandelionarch/ctl/commands.py
+++ b/dandelionarch/ctl/commands.py
@@ -1,21 +1,14 @@
-"""Subcommands of `dandelionctl`, thin objects over the library."""
+"""All subcommands; those that talk to a daemon's admin port are defined here."""
 
 import json
-import uuid
-from abc import ABC, abstractmethod
-from pathlib import Path
 
 import aiohttp
 
-from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Publication, Verdict
-from dandelionarch.core.copy import StreamCopy
-from dandelionarch.core.lists import parse_lists
-from dandelionarch.core.parts import split
-from dandelionarch.daemon.logclient import LogClient
-from dandelionarch.errors import DandelionError, ListError
-from dandelionarch.ids import RecordId
+from dandelionarch.ctl.base import Command
+from dandelionarch.ctl.publishing import Amend, Check, History, Publish, Show
+from dandelionarch.errors import DandelionError
 
-EXIT_LOST_RACE = 3
+ADMIN_TIMEOUT_S = 5.0
 
 
 class DaemonUnreachableError(DandelionError):
@@ -24,98 +17,32 @@
     exit_code = 4
 
 
-class Command(ABC):
-    """One subcommand."""
-
-    name: str
-    help: str
-
-    def add_arguments(self, parser):
-        """Add the command's own options."""
-
-    @abstractmethod
-    async def run(self, args):
-        """Run the command and return the exit code."""
-
-
-def _read(path):
-    try:
-        return Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise ListError(path, "-", "-", str(exc)) from exc
-
-
-async def read_config(client):
-    """Fold the configuration stream and return (state, next offset)."""
-    copy = StreamCopy(ConfigFold())
-    while entries := await client.read(CONFIG_STREAM, copy.read_from):
-        copy.feed(entries)
-    return copy.fold.state, copy.next
-
-
-class Check(Command):
-    """Check both lists without publishing them."""
-
-    name = "check"
-    help = "check both lists without publishing them"
-
-    def add_arguments(self, parser):
-        parser.add_argument("plans", help="INI file of customers and their plans")
-        parser.add_argument("allowances", help="INI file of services, routes, limits")
-
-    async def run(self, args):
-        lists = parse_lists(_read(args.plans), _read(args.allowances))
-        print(f"ok: {len(lists.customers)} customers, {len(lists.routes)} routes")
-        return 0
-
-
-class Publish(Check):
-    """Publish both lists and wait for the verdict."""
-
-    name = "publish"
-    help = "publish both lists and wait for the log's verdict"
-
-    def add_arguments(self, parser):
-        super().add_arguments(parser)
-        parser.add_argument("--log", required=True, help="URL of the log service")
-        parser.add_argument("--author", default="operator")
-
-    async def run(self, args):
-        plans, allowances = _read(args.plans), _read(args.allowances)
-        parse_lists(plans, allowances)
-        client = LogClient(args.log)
-        await client.start()
-        try:
-            state, _ = await read_config(client)
-            record_id = RecordId(uuid.uuid4().hex)
-            pub = Publication(record_id, state.revision, args.author, plans, allowances)
-            for entry in split(record_id, pub.to_bytes()):
-                await client.append(CONFIG_STREAM, entry)
-            state, _ = await read_config(client)
-        finally:
-            await client.stop()
-        verdict = state.verdicts[record_id]
-        print(f"{verdict.value}: revision {state.revision} (record {record_id})")
-        return 0 if verdict is Verdict.ACCEPTED else EXIT_LOST_RACE
+class DaemonRefusedError(DandelionError):
+    """The daemon did not do what it was asked."""
 
 
 class AdminCommand(Command):
-    """A command that shows what one daemon's admin port answers."""
+    """A command that asks one daemon's admin port."""
 
     def add_arguments(self, parser):
         parser.add_argument(
             "--daemon", required=True, help="admin address of a daemon, HOST:PORT"
         )
 
-    async def fetch(self, args, path):
+    async def fetch(self, args, path, method="GET"):
         """Return the JSON that the admin port answers."""
-        timeout = aiohttp.ClientTimeout(total=5)
+        timeout = aiohttp.ClientTimeout(total=ADMIN_TIMEOUT_S)
+        url = f"http://{args.daemon}{path}"
         try:
             async with aiohttp.ClientSession(timeout=timeout) as session:
-                async with session.get(f"http://{args.daemon}{path}") as resp:
-                    return await resp.json()
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
-            raise DaemonUnreachableError(f"{args.daemon}: {exc}") from exc
+                async with session.request(method, url) as resp:
+                    body = await resp.json()
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as exc:
+            detail = str(exc) or type(exc).__name__
+            raise DaemonUnreachableError(f"{args.daemon}: {detail}") from exc
+        if resp.status >= 400:
+            raise DaemonRefusedError(f"{args.daemon}: {body.get('error', resp.status)}")
+        return body
 
 
 class Status(AdminCommand):
@@ -123,6 +50,7 @@
 
     name = "status"
     help = "show a daemon's view of the fleet"
+    epilog = "example: dandelionctl status --daemon 10.0.0.7:7003"
 
     async def run(self, args):
         print(json.dumps(await self.fetch(args, "/status"), indent=2))
@@ -134,6 +62,10 @@
 
     name = "explain"
     help = "show why a request went where it did"
+    epilog = (
+        "Ask the daemon that the caller reached. It keeps the latest requests only.\n"
+        "exit codes: 0 found, 1 not known to this daemon, 4 daemon not reached"
+    )
 
     def add_arguments(self, parser):
         super().add_arguments(parser)
@@ -147,4 +79,39 @@
         return 0 if events else 1
 
 
-COMMANDS = (Check(), Publish(), Status(), Explain())
+class Drain(AdminCommand):
+    """Tell a daemon to leave, or one of its workers to take no new work."""
+
+    name = "drain"
+    help = "tell a daemon to leave gracefully, or one of its workers to drain"
+    epilog = (
+        "examples:\n"
+        "  dandelionctl drain --daemon 10.0.0.7:7003\n"
+        "  dandelionctl drain --daemon 10.0.0.7:7003 --endpoint orders-4\n"
+        "A daemon refuses new work, finishes what is in flight and stops. A worker\n"
+        "gets no new work until it is restarted."
+    )
+
+    def add_arguments(self, parser):
+        super().add_arguments(parser)
+        parser.add_argument(
+            "--endpoint", help="worker beside the daemon; the daemon itself stays"
+        )
+
+    async def run(self, args):
+        path = f"/drain/{args.endpoint}" if args.endpoint else "/drain"
+        body = await self.fetch(args, path, "POST")
+        print(f"draining: {body.get('endpoint') or 'daemon of ' + body['vm']}")
+        return 0
+
+
+COMMANDS = (
+    Check(),
+    Publish(),
+    Amend(),
+    Show(),
+    History(),
+    Status(),
+    Explain(),
+    Drain(),
+)
--- a/dandelionarch/ctl/main.py
+++ b/dandelionarch/ctl/main.py
@@ -11,11 +11,19 @@
 def build_parser():
     """Return the parser with one subparser per command."""
     parser = argparse.ArgumentParser(
-        prog="dandelionctl", description="Publish the two lists and see their effect."
+        prog="dandelionctl",
+        description="Publish the two lists (plans, allowances) and see their effect.",
+        epilog="Run `dandelionctl COMMAND --help` for examples and exit codes.",
     )
     subparsers = parser.add_subparsers(dest="command", required=True)
     for command in COMMANDS:
-        sub = subparsers.add_parser(command.name, help=command.help)
+        sub = subparsers.add_parser(
+            command.name,
+            help=command.help,
+            description=command.__doc__,
+            epilog=command.epilog,
+            formatter_class=argparse.RawDescriptionHelpFormatter,
+        )
         command.add_arguments(sub)
         sub.set_defaults(run=command.run)
     return parser
--- a/dandelionarch/daemon/admin.py
+++ b/dandelionarch/daemon/admin.py
@@ -45,6 +45,10 @@
         self.app.config.TOUCHUP = False
         self.app.add_route(self._announce, "/announce", methods=["POST"])
         self.app.add_route(self._status, "/status")
+        self.app.add_route(self._drain, "/drain", methods=["POST"])
+        self.app.add_route(
+            self._drain_endpoint, "/drain/<endpoint:str>", methods=["POST"]
+        )
         self.app.add_route(self._explain, "/explain/<request_id:str>")
 
     async def _announce(self, request):
@@ -70,6 +74,16 @@
     async def _status(self, request):
         return json(self._daemon.status())
 
+    async def _drain(self, request):
+        self._daemon.leave()
+        return json({"vm": self._daemon.vm_id}, status=202)
+
+    async def _drain_endpoint(self, request, endpoint):
+        if not self._daemon.drain_endpoint(EndpointId(endpoint)):
+            problem = f"no endpoint {endpoint!r} beside this daemon"
+            return json({"error": problem}, status=404)
+        return json({"vm": self._daemon.vm_id, "endpoint": endpoint}, status=202)
+
     async def _explain(self, request, request_id):
         decisions = self._daemon.ingress.decisions.get(request_id, [])
         return json([{"event": name, **fields} for name, fields in decisions])
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -1,6 +1,7 @@
 """The daemon: builds its parts, starts and stops them."""
 
 import asyncio
+import dataclasses
 import logging
 import time
 
@@ -9,7 +10,7 @@
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.lists import CustomerKeys, RouteTable
 from dandelionarch.core.messages import request as msgs
-from dandelionarch.core.world import Vm
+from dandelionarch.core.world import EndpointState, Vm
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
 from dandelionarch.daemon.gossip import DirectoryExchange
@@ -35,9 +36,12 @@
         self.keys = None
 
     def use(self, lists):
-        """Put new lists in force."""
-        self.routes = RouteTable(lists)
-        self.keys = CustomerKeys(lists)
+        """Put new lists in force; tables of unchanged kinds are kept."""
+        old = self.lists
+        if old is None or old.routes is not lists.routes:
+            self.routes = RouteTable(lists)
+        if old is None or old.customers is not lists.customers:
+            self.keys = CustomerKeys(lists)
         self.lists = lists
 
 
@@ -86,9 +90,12 @@
         )
         self._servers = []
         self._tasks = []
+        self._stop_requested = None
+        self._drained = {}
 
     async def run(self, stop):
         """Serve until the `stop` event is set, then shut down gracefully."""
+        self._stop_requested = stop
         await self._start()
         event(log, "daemon_started", vm=self.vm_id, incarnation=self.vm.incarnation)
         await stop.wait()
@@ -138,6 +145,10 @@
 
     def announced(self, endpoint):
         """Take note of an endpoint beside this daemon."""
+        if self._drained.get(endpoint.endpoint_id) == endpoint.incarnation and (
+            endpoint.state is not EndpointState.GONE
+        ):
+            endpoint = dataclasses.replace(endpoint, state=EndpointState.DRAINING)
         if self.directory.put_endpoint(endpoint):
             event(
                 log,
@@ -147,6 +158,23 @@
                 state=endpoint.state.value,
             )
 
+    def leave(self):
+        """Begin a graceful stop, as on SIGTERM."""
+        event(log, "drain_requested", vm=self.vm_id)
+        self._stop_requested.set()
+
+    def drain_endpoint(self, endpoint_id):
+        """Give an endpoint beside this daemon no new work; return False if unknown.
+
+        It holds for the endpoint's present incarnation.
+        """
+        endpoint = self.directory.endpoints.get(endpoint_id)
+        if endpoint is None or endpoint.vm_id != self.vm_id:
+            return False
+        self._drained[endpoint_id] = endpoint.incarnation
+        self.announced(endpoint)
+        return True
+
     def status(self):
         """Return what `dandelionctl status` shows."""
         return {
@@ -169,15 +197,17 @@
             },
         }
 
-    def _on_publication(self, record, verdict):
+    def _on_publication(self, record, decision):
         event(
             log,
             "publication",
-            record=record.record_id,
-            verdict=verdict.value if verdict else "unreadable",
-            revision=self.config.state.revision,
+            record=decision.record_id,
+            verdict=decision.verdict.value,
+            revision=decision.revision,
+            changes=decision.changes,
+            reason=decision.reason or "-",
         )
-        if verdict is Verdict.ACCEPTED:
+        if decision.verdict is Verdict.ACCEPTED:
             self._use_config()
 
     def _use_config(self):
--- a/dandelionarch/daemon/logclient.py
+++ b/dandelionarch/daemon/logclient.py
@@ -11,6 +11,7 @@
     OffsetTruncatedError,
     PlatformError,
     PlatformUnavailableError,
+    PlatformUnreachableError,
     RecordTooLargeError,
 )
 from dandelionarch.ids import Offset
@@ -50,6 +51,8 @@
         ------
         RecordTooLargeError
             If the record is larger than `MAX_RECORD_BYTES`; nothing was appended.
+        PlatformUnreachableError
+            If no connection came about; nothing was appended.
         PlatformUnavailableError
             If no reply came; the append may or may not have taken effect.
         """
@@ -94,6 +97,8 @@
                 if resp.status != 200:
                     raise PlatformError(f"log service: {resp.status}")
                 return await resp.json()
+        except aiohttp.ClientConnectorError as exc:
+            raise PlatformUnreachableError(f"log service: {exc}") from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             detail = str(exc) or type(exc).__name__
             raise PlatformUnavailableError(f"log service: {detail}") from exc
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -78,6 +78,14 @@
     """The log service did not answer; an append may or may not have taken effect."""
 
 
+class PlatformUnreachableError(PlatformUnavailableError):
+    """No connection to the log service came about, so nothing was sent."""
+
+
+class NoCheckpointError(PlatformError):
+    """The log starts after the first record and holds no usable checkpoint."""
+
+
 class RecordTooLargeError(PlatformError):
     """A record is larger than the log service accepts."""
 
@@ -122,3 +130,7 @@
 
 class SnapshotError(StreamError):
     """A checkpoint or a peer's state can't be read."""
+
+
+class PublicationError(StreamError):
+    """A record of the configuration stream is not a publication."""
--- a/dandelionarch/standin/worker.py
+++ b/dandelionarch/standin/worker.py
@@ -36,7 +36,7 @@
         parser.add_argument("--slots", type=int, default=3)
         parser.add_argument("--work-ms", type=float, default=5.0)
 
-    async def started(self):
+    async def started(self, runner, site):
         """Announce the endpoint to its daemon from now on."""
         self._announcer = asyncio.create_task(self._announce_forever())
 
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -97,14 +97,21 @@
         self.directory = directory
         self.daemons = {}
         self.workers = {}
-        self.log_port = free_ports(1)[0]
+        self.log_port, self.log_control_port = free_ports(2)
         self.log_process = None
         self.processes = []
 
     def start_log(self, *options):
         """Start the log stand-in."""
         self.log_process = self._start(
-            "log", "standin", "log", "--port", str(self.log_port), *options
+            "log",
+            "standin",
+            "log",
+            "--port",
+            str(self.log_port),
+            "--control-port",
+            str(self.log_control_port),
+            *options,
         )
         return self.log_process
 
@@ -173,6 +180,25 @@
             check=False,
         )
 
+    def start_ctl(self, *args):
+        """Start `dandelionctl` and return the running process."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", "dandelionarch.ctl.main", *args],
+            cwd=self.directory,
+            env=_environment(),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.processes.append(process)
+        return process
+
+    async def log_faults(self, session, **faults):
+        """Set the log stand-in's faults; without any, it works again."""
+        url = f"http://127.0.0.1:{self.log_control_port}/standin/faults"
+        async with session.post(url, json=faults) as resp:
+            assert resp.status == 200, await resp.text()
+
     def log_lines(self, name):
         """Return the log lines that a process has written."""
         return (self.directory / f"{name}.log").read_text().splitlines()
--- /dev/null
+++ b/tests/test_publishing.py
@@ -0,0 +1,128 @@
+"""Operators publish through a faulty log; daemons run as processes."""
+
+import asyncio
+import re
+
+import aiohttp
+import pytest
+
+from tests.support.fleet import Fleet
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Return a fleet with a running log whose processes end with the test."""
+    fleet = Fleet(tmp_path)
+    fleet.start_log()
+    yield fleet
+    fleet.stop()
+
+
+def run(fleet, scenario):
+    """Run a scenario with a session once the log answers."""
+
+    async def start():
+        async with aiohttp.ClientSession() as session:
+            await until_log(fleet, session)
+            await scenario(fleet, session)
+
+    asyncio.run(start())
+
+
+async def until_log(fleet, session):
+    """Wait until the log stand-in answers."""
+
+    async def answers():
+        url = f"http://127.0.0.1:{fleet.log_control_port}/standin/counts"
+        async with session.get(url) as resp:
+            return resp.status == 200
+
+    await fleet.until(answers, "log answers")
+
+
+class TestPublishing:
+    """`dandelionctl` says what became of a change."""
+
+    def test_one_of_two_racing_publishers_wins(self, fleet):
+        """Guards against two operators who both believe to have won."""
+        run(fleet, self._race)
+
+    async def _race(self, fleet, session):
+        assert fleet.publish().returncode == 0
+        log = ("--base", "1", "--log", fleet.log_url)
+        racers = [
+            fleet.start_ctl("amend", "--set", f"plan gold:priority={n}", *log)
+            for n in (1, 2)
+        ]
+        ended = [await asyncio.to_thread(racer.communicate) for racer in racers]
+        codes = [racer.returncode for racer in racers]
+        assert sorted(codes) == [0, 3]
+        lost = ended[codes.index(3)][1]
+        assert f"change [plan gold] priority={codes.index(0) + 1}" in lost
+
+    def test_lost_reply_counts_once(self, fleet):
+        """Guards against a change applied twice, or reported as failed."""
+        run(fleet, self._lose_replies)
+
+    async def _lose_replies(self, fleet, session):
+        await fleet.log_faults(session, lost_next=1)
+        published = fleet.publish()
+        assert published.stdout.startswith("accepted: revision 1"), published.stderr
+
+    def test_outage_is_reported_truthfully(self, fleet):
+        """Guards against `nothing changed` for a change that took effect."""
+        run(fleet, self._lose_the_log)
+
+    async def _lose_the_log(self, fleet, session):
+        await fleet.log_faults(session, outage="refuse")
+        refused = fleet.publish()
+        assert (refused.returncode, "nothing changed" in refused.stderr) == (4, True)
+        await fleet.log_faults(session, one_way="reads")
+        assert "nothing changed" in fleet.publish().stderr
+        await fleet.log_faults(session)
+        assert fleet.publish().returncode == 0
+        change = ("amend", "--set", "plan gold:priority=1", "--log", fleet.log_url)
+        await fleet.log_faults(session, lost_next=1, hang_after_lost=True)
+        unknown = fleet.start_ctl(*change, "--timeout", "1.2")
+        _, problem = await asyncio.to_thread(unknown.communicate)
+        assert unknown.returncode == 4, problem
+        record = re.search(r"--record (\w+)", problem)[1]
+        await fleet.log_faults(session)
+        log = ("--log", fleet.log_url)
+        found = fleet.ctl("history", "--record", record, *log)
+        assert (found.returncode, "accepted revision=2" in found.stdout) == (0, True)
+        assert fleet.ctl("history", "--record", "other", *log).returncode == 1
+
+
+class TestOutageStart:
+    """A replaced daemon learns the state from peers while the log is away."""
+
+    def test_restarted_daemon_learns_the_state_from_peers(self, fleet):
+        """Guards against a fleet that can't replace VMs during an outage."""
+        run(fleet, self._restart)
+
+    async def _restart(self, fleet, session):
+        names = ["vm-a", "vm-b", "vm-c", "vm-d"]
+        for name in names:
+            fleet.start_daemon(name, seeds=names[: names.index(name)][:2])
+        assert fleet.publish().returncode == 0
+        await fleet.ready(session, [])
+        await fleet.log_faults(session, outage="refuse")
+        first = fleet.daemons["vm-d"].process
+        first.kill()
+        first.wait()
+        fleet.start_daemon("vm-d", seeds=names[:2])
+
+        async def learnt():
+            status = await fleet.status(session, "vm-d")
+            return status["ready"] and status["revision"] == 1
+
+        await fleet.until(learnt, "restarted daemon has the revision")
+        status = await fleet.status(session, "vm-d")
+        assert not status["log_available"]
+        await fleet.log_faults(session)
+        done = fleet.ctl(
+            "amend", "--set", "plan gold:priority=1", "--log", fleet.log_url
+        )
+        assert done.returncode == 0
+        await fleet.ready(session, [], revision=2)
