--- /dev/null
+++ b/dandelionarch/core/details.py
@@ -0,0 +1,219 @@
+"""Endpoint detail of the services in use, fetched from the daemons beside them."""
+
+import dataclasses
+
+from dandelionarch.core import members as table_of
+from dandelionarch.core.messages.members import (
+    EndpointDetail,
+    EndpointQuery,
+    EndpointStateRecord,
+    ServiceSlots,
+)
+from dandelionarch.core.world import Endpoint, EndpointState, Health
+
+# While the fleet has at most this many endpoints, detail of all is kept: a first
+# request for a service then never waits for a fetch. The memory is about 1 MB.
+EAGER_ENDPOINTS = 1000
+# A service counts as in use for this long after its last request.
+USE_S = 600.0
+ASK_AGAIN_S = 1.0
+QUERIES_PER_TICK = 32
+ENDPOINTS_PER_PART = 5
+
+
+def endpoint_of(record):
+    """Return the endpoint of its message form."""
+    return Endpoint(
+        record.endpoint_id,
+        record.vm_id,
+        record.service,
+        record.host,
+        record.port,
+        record.slots,
+        record.connections,
+        record.incarnation,
+        EndpointState(record.state),
+        Health(record.health),
+    )
+
+
+def detail_messages(record, endpoints, services):
+    """Return the `EndpointDetail` messages that answer a query.
+
+    Parameters
+    ----------
+    record : MemberRecord
+        This daemon's own record.
+    endpoints : iterable of EndpointRecord
+    services : iterable of str
+    """
+    out = []
+    for service in services:
+        found = [e for e in endpoints if e.service == service]
+        parts = [
+            tuple(found[i : i + ENDPOINTS_PER_PART])
+            for i in range(0, max(1, len(found)), ENDPOINTS_PER_PART)
+        ]
+        out += [
+            EndpointDetail(
+                record.vm_id,
+                record.incarnation,
+                record.endpoints_version,
+                service,
+                index,
+                len(parts),
+                part,
+            )
+            for index, part in enumerate(parts)
+        ]
+    return out
+
+
+class Details:
+    """Which endpoint detail is held, and what has to be fetched.
+
+    Parameters
+    ----------
+    table : MemberTable
+    own_id : str
+        This daemon's VM, whose endpoints need no fetch.
+    """
+
+    def __init__(self, table, own_id):
+        self._table = table
+        self._own_id = own_id
+        self._used = {}
+        self._held = {}
+        self._stale = {}
+        self._parts = {}
+        self._endpoints = 0
+        self._counted = {}
+
+    def use(self, service, now):
+        """Note a request for a service; return True if it was not in use."""
+        new = service not in self._used and not self.eager
+        self._used[service] = now
+        if new:
+            for vm_id in self._table.living:
+                self.changed(self._table.records[vm_id])
+        return new
+
+    @property
+    def eager(self):
+        """Return True while detail of all services is kept."""
+        return self._endpoints <= EAGER_ENDPOINTS
+
+    def has(self, service):
+        """Return True if the detail of all endpoints of a service is held."""
+        return all(
+            self._is_held(record, service)
+            for record in map(self._table.records.get, self._table.living)
+            if any(s.service == service for s in record.services)
+        )
+
+    def changed(self, record):
+        """Handle a new record of a member; return services that it has no more."""
+        if record.vm_id == self._own_id:
+            return ()
+        alive = record.state != table_of.DEAD
+        count = sum(s.endpoints for s in record.services) if alive else 0
+        self._endpoints += count - self._counted.pop(record.vm_id, 0)
+        if count:
+            self._counted[record.vm_id] = count
+        offered = {s.service for s in record.services} if alive else set()
+        held = self._held.get(record.vm_id, {})
+        gone = [service for service in held if service not in offered]
+        for service in gone:
+            del held[service]
+        if not held:
+            self._held.pop(record.vm_id, None)
+        if self._missing(record):
+            self._stale.setdefault(record.vm_id, float("-inf"))
+        return gone
+
+    def forget(self, vm_id):
+        """Drop all notes on a member that was removed."""
+        self._held.pop(vm_id, None)
+        self._stale.pop(vm_id, None)
+        self._endpoints -= self._counted.pop(vm_id, 0)
+
+    def _is_held(self, record, service):
+        version = (record.incarnation, record.endpoints_version)
+        return self._held.get(record.vm_id, {}).get(service, (0, 0)) >= version
+
+    def _missing(self, record):
+        if record.state == table_of.DEAD:
+            return []
+        return [
+            s.service
+            for s in record.services
+            if (self.eager or s.service in self._used)
+            and not self._is_held(record, s.service)
+        ]
+
+    def due(self, now):
+        """Return (address, query) pairs to send now."""
+        self._expire(now)
+        out = []
+        for vm_id, asked in list(self._stale.items()):
+            record = self._table.records.get(vm_id)
+            services = self._missing(record) if record is not None else []
+            if not services:
+                del self._stale[vm_id]
+            elif now - asked >= ASK_AGAIN_S and len(out) < QUERIES_PER_TICK:
+                self._stale[vm_id] = now
+                query = EndpointQuery(tuple(services))
+                out.append((table_of.address_of(record), query))
+        return out
+
+    def _expire(self, now):
+        for service, used in list(self._used.items()):
+            if now - used > USE_S:
+                del self._used[service]
+
+    def received(self, msg):
+        """Return the endpoints of a service once all parts are here, else None."""
+        key = (msg.vm_id, msg.service)
+        version = (msg.incarnation, msg.version)
+        held = self._held.get(msg.vm_id, {}).get(msg.service, (0, 0))
+        if held > version or not 0 <= msg.part < msg.parts:
+            return None
+        have_version, parts = self._parts.get(key, (version, {}))
+        if have_version != version:
+            parts = {}
+        parts[msg.part] = msg.endpoints
+        if len(parts) < msg.parts:
+            self._parts[key] = (version, parts)
+            return None
+        self._parts.pop(key, None)
+        endpoints = tuple(endpoint_of(e) for i in sorted(parts) for e in parts[i])
+        self._held.setdefault(msg.vm_id, {})[msg.service] = version
+        return endpoints
+
+
+def comparable(endpoints):
+    """Return endpoint records without health, which replies carry."""
+    return [dataclasses.replace(e, health="") for e in endpoints]
+
+
+def service_slots(endpoints):
+    """Return the `ServiceSlots` of a daemon's endpoints."""
+    services = {}
+    for e in endpoints:
+        count, slots = services.get(e.service, (0, 0))
+        services[e.service] = (count + 1, slots + e.slots)
+    return tuple(ServiceSlots(s, *n) for s, n in sorted(services.items()))
+
+
+def ended_states(before, endpoints):
+    """Return the states of endpoints that have begun to drain or are gone."""
+    serving = {EndpointState.READY.value, EndpointState.STARTING.value}
+    now = {e.endpoint_id: e for e in endpoints}
+    ended = []
+    for endpoint_id, old in before.items():
+        new = now.get(endpoint_id)
+        state = EndpointState.GONE.value if new is None else new.state
+        if old.state in serving and state not in serving:
+            incarnation = (new or old).incarnation
+            ended.append(EndpointStateRecord(endpoint_id, incarnation, state))
+    return tuple(ended)
--- a/dandelionarch/core/directory.py
+++ b/dandelionarch/core/directory.py
@@ -1,5 +1,7 @@
 """What a daemon knows of VMs and endpoints, whoever told it."""
 
+import dataclasses
+
 from dandelionarch.core.world import EndpointState, VmState
 
 
@@ -10,12 +12,18 @@
         self.vms = {}
         self.endpoints = {}
         self._by_service = {}
+        self._by_vm = {}
         self._listeners = []
+        self._use_listeners = []
 
     def on_change(self, listener):
         """Call `listener(thing)` with each `Vm` or `Endpoint` that has changed."""
         self._listeners.append(listener)
 
+    def on_use(self, listener):
+        """Call `listener(service)` whenever the endpoints of a service are read."""
+        self._use_listeners.append(listener)
+
     def _changed(self, thing):
         for listener in self._listeners:
             listener(thing)
@@ -42,7 +50,10 @@
             if known is not None:
                 self._changed(endpoint)
             return known is not None
+        if known is not None and known.service != endpoint.service:
+            self.drop_endpoint(endpoint.endpoint_id)
         self.endpoints[endpoint.endpoint_id] = endpoint
+        self._by_vm.setdefault(endpoint.vm_id, {})[endpoint.endpoint_id] = True
         self._by_service.setdefault(endpoint.service, {})[endpoint.endpoint_id] = True
         if known != endpoint:
             self._changed(endpoint)
@@ -52,7 +63,24 @@
         """Forget one endpoint."""
         endpoint = self.endpoints.pop(endpoint_id, None)
         if endpoint is not None:
-            self._by_service[endpoint.service].pop(endpoint_id, None)
+            for index, key in (
+                (self._by_service, endpoint.service),
+                (self._by_vm, endpoint.vm_id),
+            ):
+                index[key].pop(endpoint_id, None)
+                if not index[key]:
+                    del index[key]
+
+    def drop_vm(self, vm_id):
+        """Forget a VM and its endpoints."""
+        self.drop_endpoints(vm_id)
+        self.vms.pop(vm_id, None)
+
+    def set_endpoint_state(self, endpoint_id, incarnation, state):
+        """Record the state of an endpoint incarnation, if it is a known one."""
+        known = self.endpoints.get(endpoint_id)
+        if known is not None and known.incarnation == incarnation:
+            self.put_endpoint(dataclasses.replace(known, state=state))
 
     def drop_endpoints(self, vm_id):
         """Forget all endpoints beside one VM's daemon."""
@@ -61,12 +89,13 @@
 
     def endpoints_of_vm(self, vm_id):
         """Return the endpoints beside one VM's daemon."""
-        return [e for e in self.endpoints.values() if e.vm_id == vm_id]
+        return [self.endpoints[e] for e in self._by_vm.get(vm_id, ())]
 
     def endpoints_of(self, service):
-        """Yield the endpoints of a service in the order in which they were learnt."""
-        for endpoint_id in self._by_service.get(service, ()):
-            yield self.endpoints[endpoint_id]
+        """Return the endpoints of a service in the order in which they were learnt."""
+        for listener in self._use_listeners:
+            listener(service)
+        return [self.endpoints[e] for e in self._by_service.get(service, ())]
 
     def living_vms(self):
         """Return the VMs that are neither dead nor leaving, by id."""
--- /dev/null
+++ b/dandelionarch/core/exchange.py
@@ -0,0 +1,143 @@
+"""Pairwise exchange of what two daemons' member tables differ in.
+
+Probes pass updates on, but an update can miss a daemon that was cut off or paused.
+The exchange finds what is left. Every message is answered from the present table
+alone, so that a lost datagram leaves nothing to clean up.
+"""
+
+from abc import ABC, abstractmethod
+
+from dandelionarch.core import members as table_of
+from dandelionarch.core.messages.members import (
+    BucketKeys,
+    MemberQuery,
+    Members,
+    TreeDigest,
+    TreeNode,
+)
+
+# Leaves a margin for the header, the authentication code and estimation errors
+# within datagrams of 1,200 bytes.
+PAYLOAD_BUDGET_BYTES = 1000
+NODE_BYTES = 16
+MAX_QUERY_IDS = 40
+
+
+class Exchange(ABC):
+    """A way to find the differences between two tables.
+
+    Parameters
+    ----------
+    table : MemberTable
+    """
+
+    def __init__(self, table):
+        self.table = table
+
+    @abstractmethod
+    def start(self):
+        """Return the messages that open an exchange with another daemon."""
+
+    def on_digest(self, msg):
+        """Return the replies to hashes of the sender's tree."""
+        children, leaves = [], []
+        for node in msg.nodes:
+            mine = self.table.tree.digest(node.level, node.index)
+            if mine is None or mine == node.digest:
+                continue
+            if node.level == table_of.LEAF_LEVEL:
+                leaves.append(node.index)
+            else:
+                children += self._children(node)
+        replies = []
+        for part in table_of.chunks(children, lambda n: NODE_BYTES, 800):
+            replies.append(TreeDigest(part))
+        return replies + self.keys(leaves)
+
+    def keys(self, buckets):
+        """Return the messages that list the members in some leaves."""
+        replies, held, keys, left = [], [], [], PAYLOAD_BUDGET_BYTES
+        for bucket in buckets:
+            found = [table_of.verdict_of(r) for r in self.table.in_bucket(bucket)]
+            size = 6 + sum(map(table_of.verdict_size, found))
+            if held and size > left:
+                replies.append(BucketKeys(tuple(held), tuple(keys)))
+                held, keys, left = [], [], PAYLOAD_BUDGET_BYTES
+            held.append(bucket)
+            keys += found
+            left -= size
+        if held:
+            replies.append(BucketKeys(tuple(held), tuple(keys)))
+        return replies
+
+    def on_keys(self, msg):
+        """Return what the sender lacks, and queries for what this daemon lacks."""
+        theirs = {key.vm_id: key for key in msg.keys}
+        send, wanted = [], []
+        for bucket in msg.buckets:
+            if bucket >= table_of.TREE_LEAVES:
+                continue
+            for record in self.table.in_bucket(bucket):
+                key = theirs.get(record.vm_id)
+                if key is None or _older(key, record):
+                    send.append(record)
+        for key in msg.keys:
+            mine = self.table.records.get(key.vm_id)
+            if mine is None or _older(mine, key):
+                wanted.append(key.vm_id)
+        verdicts = [
+            table_of.verdict_of(mine)
+            for key in msg.keys
+            if (mine := self.table.records.get(key.vm_id)) is not None
+            and mine.state == table_of.DEAD
+            and not _older(mine, key)
+        ]
+        return [
+            *members_messages(send),
+            *verdict_messages(verdicts),
+            *query_messages(wanted),
+        ]
+
+    def _children(self, node):
+        level = node.level + 1
+        first = node.index * table_of.TREE_FANOUT
+        for index in range(first, first + table_of.TREE_FANOUT):
+            yield TreeNode(level, index, self.table.tree.digest(level, index))
+
+
+class TreeExchange(Exchange):
+    """Compares a hash tree from the root down: cheap when little differs."""
+
+    def start(self):
+        return [TreeDigest((TreeNode(0, 0, self.table.tree.digest(0, 0)),))]
+
+
+class PlainExchange(Exchange):
+    """Baseline: sends the key of every member each time."""
+
+    def start(self):
+        return self.keys(range(table_of.TREE_LEAVES))
+
+
+def _older(one, other):
+    return (one.incarnation, one.edition) < (other.incarnation, other.edition)
+
+
+def members_messages(records):
+    """Return `Members` messages that hold all the records."""
+    parts = table_of.chunks(records, table_of.record_size, PAYLOAD_BUDGET_BYTES)
+    return [Members(part, ()) for part in parts]
+
+
+def verdict_messages(verdicts):
+    """Return `Members` messages that hold all the verdicts."""
+    parts = table_of.chunks(verdicts, table_of.verdict_size, PAYLOAD_BUDGET_BYTES)
+    return [Members((), part) for part in parts]
+
+
+def query_messages(vm_ids):
+    """Return `MemberQuery` messages for all the ids."""
+    return [
+        MemberQuery(tuple(vm_ids[i : i + MAX_QUERY_IDS]))
+        for i in range(0, len(vm_ids), MAX_QUERY_IDS)
+    ]
--- /dev/null
+++ b/dandelionarch/core/membership.py
@@ -0,0 +1,399 @@
+"""Membership: probes, suspicion, refutation and the spread of updates.
+
+Events in, commands out: `tick` and `received` return the commands that the gossip
+task carries out. A daemon probes one random member a second; two others probe it
+again if it does not reply, so that a one-way partition between two daemons is not
+taken for a death. Records carry the process's incarnation and an edition that the
+process alone raises; a higher edition refutes any suspicion of a lower one.
+"""
+
+import dataclasses
+
+from dandelionarch.core import members as table_of
+from dandelionarch.core.details import (
+    Details,
+    comparable,
+    detail_messages,
+    ended_states,
+    service_slots,
+)
+from dandelionarch.core.exchange import TreeExchange, members_messages
+from dandelionarch.core.member_events import (
+    EndpointsLearnt,
+    EndpointStateLearnt,
+    IncarnationRaised,
+    MemberChanged,
+    MemberForgotten,
+    PeerOffsets,
+    SendDatagram,
+)
+from dandelionarch.core.members import ALIVE, DEAD, LEAVING, SUSPECT
+from dandelionarch.core.messages import members as msgs
+from dandelionarch.core.probing import Prober
+from dandelionarch.core.rejoin import Rejoin
+from dandelionarch.core.world import EndpointState
+
+# A probe starts on every second tick; the tick between asks two other members.
+TICK_S = 0.5
+SUSPICION_S = 5.0
+EXCHANGE_PERIOD_S = 30.0
+# Regions may be apart for an hour; their members must be known when it ends.
+DEAD_RETENTION_S = 7200.0
+# A tick that comes this late means that the process was paused: replies that would
+# have come in the meantime say nothing about the others.
+PAUSE_S = 2.0
+# Told twice to every member, as one datagram in a hundred may be lost.
+BROADCAST_REPEATS = 2
+
+
+class Membership:
+    """One daemon's view of the fleet.
+
+    Parameters
+    ----------
+    record : MemberRecord
+        This daemon.
+    rng : random.Random
+    seeds : iterable of (str, int)
+        Gossip addresses to join by.
+    exchange_type : type
+        A subclass of `Exchange`.
+    """
+
+    def __init__(self, record, rng, seeds=(), exchange_type=TreeExchange):
+        self.me = record
+        self.rng = rng
+        self.table = table_of.MemberTable(record.vm_id)
+        self.table.put(record)
+        self.exchange = exchange_type(self.table)
+        self.details = Details(self.table, record.vm_id)
+        self.updates = table_of.UpdateQueue()
+        self.prober = Prober(self)
+        self.seeds = Rejoin(self, seeds)
+        self.suspects = {}
+        self.wrongly_suspected = 0
+        self._endpoints = ()
+        self._out = []
+        self._dead_since = {}
+        self._broadcasts = []
+        self._last_tick = None
+        self._exchange_at = None
+        self._left = False
+
+    def tick(self, now):
+        """Do what is due; to be called every `TICK_S`."""
+        if self._last_tick is None:
+            self._exchange_at = now + self.rng.uniform(1.0, EXCHANGE_PERIOD_S)
+        elif now - self._last_tick > PAUSE_S:
+            self._resume(now - self._last_tick)
+        self._last_tick = now
+        silent = self.table.records.get(self.prober.tick(now))
+        if silent is not None and silent.state in (ALIVE, LEAVING):
+            self._suspect(silent, now)
+        self._expire(now)
+        self.seeds.tick(now)
+        self._broadcast()
+        for address, query in self.details.due(now):
+            self.send(address, query)
+        if now >= self._exchange_at:
+            self._exchange_at = now + self.rng.uniform(0.9, 1.1) * EXCHANGE_PERIOD_S
+            self.exchange_with(self.table.living.choose(self.rng))
+        return self._commands()
+
+    def received(self, address, msg, now):
+        """Handle a message from a gossip address."""
+        if not self._left:
+            getattr(self, f"_on_{type(msg).__name__.lower()}")(address, msg, now)
+        return self._commands()
+
+    def use(self, service, now):
+        """Note a request for a service, whose endpoint detail is then kept."""
+        if self.details.use(service, now):
+            for address, query in self.details.due(now):
+                self.send(address, query)
+        return self._commands()
+
+    def set_offsets(self, offsets):
+        """Set the stream offsets (dict of stream to offset) that probes carry."""
+        self.prober.set_offsets(offsets)
+
+    def set_endpoints(self, endpoints):
+        """Set the endpoints beside this daemon (iterable of EndpointRecord)."""
+        endpoints = tuple(sorted(endpoints, key=lambda e: e.endpoint_id))
+        before = {e.endpoint_id: e for e in self._endpoints}
+        if comparable(endpoints) == comparable(self._endpoints):
+            self._endpoints = endpoints
+            return []
+        self._endpoints = endpoints
+        self._update_me(
+            endpoints_version=self.me.endpoints_version + 1,
+            services=service_slots(endpoints),
+        )
+        ended = ended_states(before, endpoints)
+        if ended:
+            states = msgs.EndpointStates(self.me.vm_id, self.me.incarnation, ended)
+            self._broadcasts.append([states, BROADCAST_REPEATS])
+            self._broadcast()
+        return self._commands()
+
+    def leave(self):
+        """Tell all members that this daemon takes no new work."""
+        self._update_me(state=LEAVING)
+        leaving = msgs.Members((self.me,), ())
+        self._broadcasts.append([leaving, BROADCAST_REPEATS])
+        self._broadcast()
+        return self._commands()
+
+    def left(self):
+        """Tell all members that this daemon has ended, and fall silent."""
+        self._update_me(state=DEAD)
+        self._tell_all(msgs.Members((), (table_of.verdict_of(self.me),)))
+        self._left = True
+        return self._commands()
+
+    def send(self, address, message):
+        """Add a datagram to the commands."""
+        self._out.append(SendDatagram(address, message))
+
+    def exchange_with(self, vm_id):
+        """Open an exchange of differences with a member."""
+        record = self.table.records.get(vm_id)
+        if record is not None:
+            for message in self.exchange.start():
+                self.send(table_of.address_of(record), message)
+
+    def _commands(self):
+        out, self._out = self._out, []
+        return out
+
+    def _update_me(self, **changes):
+        self.me = dataclasses.replace(self.me, edition=self.me.edition + 1, **changes)
+        self.table.put(self.me)
+        self.updates.add(self.me.vm_id, len(self.table.living))
+        self._out.append(MemberChanged(table_of.vm_of(self.me)))
+
+    def _tell_all(self, message):
+        for vm_id in list(self.table.living):
+            self.send(table_of.address_of(self.table.records[vm_id]), message)
+
+    def _broadcast(self):
+        for pending in self._broadcasts:
+            self._tell_all(pending[0])
+            pending[1] -= 1
+        self._broadcasts = [b for b in self._broadcasts if b[1] > 0]
+
+    def _resume(self, gap_s):
+        """Discard what a pause of this process would make of the others."""
+        self.prober.discard()
+        self.suspects = {vm: due + gap_s for vm, due in self.suspects.items()}
+        self.exchange_with(self.table.living.choose(self.rng))
+
+    def _suspect(self, record, now):
+        """Start the suspicion of a member; a leaving one is suspected quietly."""
+        self.suspects.setdefault(record.vm_id, now + SUSPICION_S)
+        if record.state == ALIVE:
+            self._store(dataclasses.replace(record, state=SUSPECT), now)
+            self.prober.probe(record.vm_id)
+
+    def _expire(self, now):
+        for vm_id, due in list(self.suspects.items()):
+            if due <= now:
+                record = self.table.records[vm_id]
+                self._store(dataclasses.replace(record, state=DEAD), now)
+        for vm_id, since in list(self._dead_since.items()):
+            if now - since > DEAD_RETENTION_S:
+                del self._dead_since[vm_id]
+                self.table.remove(vm_id)
+                self.details.forget(vm_id)
+                self._out.append(MemberForgotten(vm_id))
+
+    def _store(self, record, now):
+        """Put a record that takes precedence over the known one."""
+        known = self.table.records.get(record.vm_id)
+        self.table.put(record)
+        self.updates.add(record.vm_id, len(self.table.living))
+        if record.state == SUSPECT:
+            self.suspects.setdefault(record.vm_id, now + SUSPICION_S)
+        elif record.vm_id in self.suspects:
+            del self.suspects[record.vm_id]
+            self.wrongly_suspected += record.state == ALIVE
+        if record.state == DEAD:
+            self._dead_since[record.vm_id] = now
+        elif self._dead_since.pop(record.vm_id, None) is not None:
+            self.seeds.returned(record.vm_id, now)
+        for service in self.details.changed(record):
+            self._out.append(EndpointsLearnt(record.vm_id, service, ()))
+        if known is None or table_of.vm_of(known) != table_of.vm_of(record):
+            self._out.append(MemberChanged(table_of.vm_of(record)))
+
+    def learn(self, records, verdicts, now):
+        """Take in what another daemon says of members."""
+        for record in records:
+            self._learn(record, record, now)
+        for verdict in verdicts:
+            known = self.table.records.get(verdict.vm_id)
+            if known is not None and known.incarnation == verdict.incarnation:
+                edition = max(known.edition, verdict.edition)
+                record = dataclasses.replace(
+                    known, edition=edition, state=verdict.state
+                )
+                self._learn(verdict, record, now)
+
+    def _learn(self, said, record, now):
+        """Store `record`, made of what was `said`, if that takes precedence."""
+        if said.state not in table_of.RANK:
+            return
+        if said.vm_id == self.me.vm_id:
+            self._hear_of_me(said, record)
+            return
+        known = self.table.records.get(said.vm_id)
+        if known is None:
+            if record.state != DEAD:
+                self._replace_at_address(record, now)
+                self._store(record, now)
+            return
+        if table_of.precedence(said) <= table_of.precedence(known):
+            return
+        # Another's word that a member is dead only starts a suspicion of its own: two
+        # parts of the fleet that meet again hold each other's living members dead.
+        same = (said.incarnation, said.edition) == (known.incarnation, known.edition)
+        if said.state == DEAD and same:
+            self._suspect(known, now)
+            return
+        if record.state != DEAD:
+            self._replace_at_address(record, now)
+        self._store(record, now)
+
+    def _replace_at_address(self, record, now):
+        """Hold the former VM at the address of a newer one dead at once."""
+        former = self.table.at_address(table_of.address_of(record))
+        if former is None or former.vm_id in (record.vm_id, self.me.vm_id):
+            return
+        if former.incarnation < record.incarnation:
+            self._store(dataclasses.replace(former, state=DEAD), now)
+
+    def _hear_of_me(self, said, record):
+        if said.incarnation > self.me.incarnation:
+            if table_of.address_of(record) == table_of.address_of(self.me):
+                incarnation = said.incarnation + 1 + self.rng.randrange(1000)
+                self._out.append(IncarnationRaised(incarnation))
+                self._update_me(incarnation=incarnation)
+            return
+        refuted = said.state in (SUSPECT, DEAD) and said.edition >= self.me.edition
+        if said.incarnation == self.me.incarnation and refuted:
+            self.me = dataclasses.replace(self.me, edition=said.edition)
+            self._update_me()
+
+    def _heard_from(self, address, vm_id, incarnation, version):
+        """Return the members whose verdict the sender has to hear."""
+        known = self.table.records.get(vm_id)
+        if known is None or known.incarnation < incarnation:
+            self.send(address, msgs.MemberQuery((vm_id,)))
+            return ()
+        if known.incarnation > incarnation:
+            self.send(address, msgs.Members((known,), ()))
+            return ()
+        if version > known.endpoints_version:
+            self.send(address, msgs.MemberQuery((vm_id,)))
+        if known.state == DEAD:
+            self.seeds.heard_from_dead(vm_id)
+        return (vm_id,) if known.state in (SUSPECT, DEAD) else ()
+
+    def _on_probe(self, address, msg, now):
+        first = self._heard_from(
+            address, msg.vm_id, msg.incarnation, msg.endpoints_version
+        )
+        self.learn(msg.records, msg.verdicts, now)
+        if msg.offsets:
+            offsets = {o.stream: o.offset for o in msg.offsets}
+            self._out.append(PeerOffsets(msg.vm_id, offsets))
+        records, verdicts = self.prober.updates(first)
+        if msg.target != self.me.vm_id and self.me not in records:
+            records = (self.me, *records)
+        ack = msgs.ProbeAck(
+            self.me.vm_id,
+            self.me.incarnation,
+            self.me.endpoints_version,
+            msg.number,
+            records,
+            verdicts,
+        )
+        self.send(address, ack)
+
+    def _on_probeack(self, address, msg, now):
+        self.prober.answered(msg)
+        known = self.table.records.get(msg.vm_id)
+        if known is not None and known.state == LEAVING:
+            self.suspects.pop(msg.vm_id, None)
+        first = self._heard_from(
+            address, msg.vm_id, msg.incarnation, msg.endpoints_version
+        )
+        if first:
+            self.send(address, msgs.Members((), tuple(map(self._verdict, first))))
+        self.learn(msg.records, msg.verdicts, now)
+
+    def _verdict(self, vm_id):
+        return table_of.verdict_of(self.table.records[vm_id])
+
+    def _on_proberequest(self, address, msg, now):
+        self.prober.requested(address, msg, now)
+
+    def _on_join(self, address, msg, now):
+        self.learn((msg.record,), (), now)
+        known = self.table.records.get(msg.record.vm_id)
+        newer = [known] if known not in (None, msg.record) else []
+        self.send(address, msgs.Members((self.me, *newer), ()))
+        living = [self.table.records[vm_id] for vm_id in self.table.living]
+        for message in members_messages(living):
+            self.send(address, message)
+
+    def _on_members(self, address, msg, now):
+        beaten = [r for r in msg.records if self._holds_dead(r)]
+        self.learn(msg.records, msg.verdicts, now)
+        if beaten:
+            verdicts = tuple(self._verdict(r.vm_id) for r in beaten)
+            self.send(address, msgs.Members((), verdicts))
+
+    def _holds_dead(self, record):
+        known = self.table.records.get(record.vm_id)
+        return (
+            known is not None
+            and known.state == DEAD
+            and record.state != DEAD
+            and table_of.precedence(known) > table_of.precedence(record)
+        )
+
+    def _on_treedigest(self, address, msg, now):
+        for reply in self.exchange.on_digest(msg):
+            self.send(address, reply)
+
+    def _on_bucketkeys(self, address, msg, now):
+        for reply in self.exchange.on_keys(msg):
+            self.send(address, reply)
+
+    def _on_memberquery(self, address, msg, now):
+        known = map(self.table.records.get, msg.vm_ids)
+        for message in members_messages([r for r in known if r is not None]):
+            self.send(address, message)
+
+    def _on_endpointquery(self, address, msg, now):
+        for reply in detail_messages(self.me, self._endpoints, msg.services):
+            self.send(address, reply)
+
+    def _on_endpointdetail(self, address, msg, now):
+        known = self.table.records.get(msg.vm_id)
+        if known is None or known.incarnation != msg.incarnation:
+            return
+        endpoints = self.details.received(msg)
+        if endpoints is not None:
+            self._out.append(EndpointsLearnt(msg.vm_id, msg.service, endpoints))
+
+    def _on_endpointstates(self, address, msg, now):
+        known = self.table.records.get(msg.vm_id)
+        if known is None or known.incarnation != msg.incarnation:
+            return
+        for s in msg.states:
+            state = EndpointState(s.state)
+            self._out.append(
+                EndpointStateLearnt(msg.vm_id, s.endpoint_id, s.incarnation, state)
+            )
--- /dev/null
+++ b/dandelionarch/core/probing.py
@@ -0,0 +1,145 @@
+"""Probes: one random member a second, directly and then by way of two others."""
+
+import dataclasses
+from dataclasses import dataclass
+
+from dandelionarch.core import members as table_of
+from dandelionarch.core.members import ALIVE
+from dandelionarch.core.messages import members as msgs
+
+INDIRECT_PROBES = 2
+RELAY_RETENTION_S = 3.0
+OFFSETS_PER_PROBE = 6
+UPDATES_BUDGET_BYTES = 700
+
+
+@dataclass(slots=True)
+class Pending:
+    """The probe under way: its number, its target and whether a reply came."""
+
+    number: int
+    target: str
+    answered: bool = False
+
+
+class Prober:
+    """The probe under way, and probes made on behalf of others.
+
+    Parameters
+    ----------
+    membership : Membership
+    """
+
+    def __init__(self, membership):
+        self._members = membership
+        self._offsets = {}
+        self._offset_turn = 0
+        self._numbers = 0
+        self._pending = None
+        self._start_next = True
+        self._relays = {}
+
+    def tick(self, now):
+        """Make one half of a probe; return a member that did not reply, or None."""
+        silent = None
+        if self._start_next:
+            silent = self._conclude()
+            self._start()
+        else:
+            self._ask_others()
+        self._start_next = not self._start_next
+        for number, (_, _, sent) in list(self._relays.items()):
+            if now - sent > RELAY_RETENTION_S:
+                del self._relays[number]
+        return silent
+
+    def discard(self):
+        """Forget the probe under way."""
+        self._pending = None
+
+    def set_offsets(self, offsets):
+        """Set the stream offsets that probes carry."""
+        self._offsets = dict(offsets)
+
+    def probe(self, vm_id, number=0):
+        """Send a probe to a member, with the verdict on it unless it is alive."""
+        record = self._members.table.records[vm_id]
+        first = (vm_id,) if record.state != ALIVE else ()
+        records, verdicts = self.updates(first)
+        me = self._members.me
+        message = msgs.Probe(
+            me.vm_id,
+            me.incarnation,
+            me.endpoints_version,
+            number,
+            vm_id,
+            self._some_offsets(),
+            records,
+            verdicts,
+        )
+        self._members.send(table_of.address_of(record), message)
+
+    def updates(self, first):
+        """Return (records, verdicts) to pass on, the verdicts on `first` first."""
+        return self._members.updates.take(
+            self._members.table.records, UPDATES_BUDGET_BYTES, first
+        )
+
+    def answered(self, msg):
+        """Handle a reply to this daemon's probe or to one for another daemon."""
+        relay = self._relays.pop(msg.number, None)
+        if relay is not None:
+            requester, number, _ = relay
+            self._members.send(requester, dataclasses.replace(msg, number=number))
+        pending = self._pending
+        if pending is not None and pending.number == msg.number:
+            pending.answered = pending.target == msg.vm_id
+
+    def requested(self, address, msg, now):
+        """Probe a member for another daemon, which gets the reply."""
+        if msg.target in self._members.table.records:
+            number = self._next_number()
+            self._relays[number] = (address, msg.number, now)
+            self.probe(msg.target, number)
+
+    def _next_number(self):
+        self._numbers += 1
+        return self._numbers
+
+    def _some_offsets(self):
+        """Return `config` and `fleet` and a changing choice of the other streams."""
+        first = [s for s in ("config", "fleet") if s in self._offsets]
+        rest = sorted(set(self._offsets) - set(first))
+        room = OFFSETS_PER_PROBE - len(first)
+        if len(rest) > room:
+            start = self._offset_turn % len(rest)
+            rest = (rest[start:] + rest[:start])[:room]
+            self._offset_turn += room
+        return tuple(msgs.StreamOffset(s, self._offsets[s]) for s in first + rest)
+
+    def _start(self):
+        target = self._members.table.living.choose(self._members.rng)
+        if target is not None:
+            self._pending = Pending(self._next_number(), target)
+            self.probe(target, self._pending.number)
+
+    def _ask_others(self):
+        pending = self._pending
+        if pending is None or pending.answered:
+            return
+        request = msgs.ProbeRequest(
+            self._members.me.vm_id, pending.number, pending.target
+        )
+        helpers = self._members.table.living.sample(
+            self._members.rng, INDIRECT_PROBES + 1
+        )
+        for vm_id in [h for h in helpers if h != pending.target][:INDIRECT_PROBES]:
+            self._members.send(
+                table_of.address_of(self._members.table.records[vm_id]), request
+            )
+
+    def _conclude(self):
+        pending, self._pending = self._pending, None
+        if pending is None or pending.answered:
+            return None
+        return pending.target
--- /dev/null
+++ b/dandelionarch/core/rejoin.py
@@ -0,0 +1,96 @@
+"""Contact with daemons outside the known living ones: seeds and returning members.
+
+Seeds come from the settings. When they are gone, a daemon joins by the VMs that the
+fleet stream announces. Members that are held dead are probed now and then, so that
+regions that were apart find each other again.
+"""
+
+from dandelionarch.core import members as table_of
+from dandelionarch.core.messages.members import Join
+
+JOIN_PERIOD_S = 1.0
+SEED_PERIOD_S = 30.0
+DEAD_PROBE_PERIOD_S = 10.0
+# A message from a member that is held dead makes the other dead ones worth a probe.
+# The limit per tick keeps regions that meet again from probing all at once.
+PROBES_PER_TICK = 3
+# A new member is told all others in one burst of datagrams, some of which may be
+# lost; exchanges soon after fill the gaps.
+CATCH_UP_S = (1.0, 3.0, 8.0)
+
+
+class Rejoin:
+    """When to contact which address outside the living members.
+
+    Parameters
+    ----------
+    membership : Membership
+    seeds : iterable of (str, int)
+        Gossip addresses from the settings.
+    """
+
+    def __init__(self, membership, seeds):
+        self._members = membership
+        self._seeds = [tuple(s) for s in seeds]
+        self._fallback = []
+        self._seed_at = None
+        self._dead_at = None
+        self._catch_up = []
+        self._joined = False
+        self._turn = 0
+        self._probes_left = 0
+
+    def set_fallback(self, addresses):
+        """Set the gossip addresses that the fleet stream announces."""
+        self._fallback = [tuple(a) for a in addresses]
+
+    def tick(self, now):
+        """Send what is due."""
+        if self._seed_at is None:
+            self._seed_at = now
+            self._dead_at = now + self._members.rng.uniform(0, DEAD_PROBE_PERIOD_S)
+        self._probes_left = PROBES_PER_TICK
+        alone = not len(self._members.table.living)
+        if now >= self._seed_at:
+            self._seed_at = now + (JOIN_PERIOD_S if alone else SEED_PERIOD_S)
+            self._join()
+        if now >= self._dead_at:
+            self._dead_at = now + DEAD_PROBE_PERIOD_S
+            self._probe_dead(1)
+        if not alone and not self._joined:
+            self._joined = True
+            self._catch_up = [now + after for after in CATCH_UP_S]
+        if self._catch_up and now >= self._catch_up[0]:
+            self._catch_up.pop(0)
+            self._exchange()
+
+    def returned(self, vm_id, now):
+        """Handle a member that was held dead and is not."""
+        self._members.exchange_with(vm_id)
+
+    def heard_from_dead(self, vm_id):
+        """Handle a message from a member that is still held dead."""
+        count = min(PROBES_PER_TICK, self._probes_left)
+        self._probes_left -= count
+        self._probe_dead(count)
+
+    def _join(self):
+        """Ask one seed and one announced VM that is not a living member."""
+        self._turn += 1
+        for addresses in (self._seeds, self._fallback):
+            others = [a for a in addresses if self._is_stranger(a)]
+            if others:
+                address = others[self._turn % len(others)]
+                self._members.send(address, Join(self._members.me))
+
+    def _is_stranger(self, address):
+        me = table_of.address_of(self._members.me)
+        return address != me and self._members.table.at_address(address) is None
+
+    def _probe_dead(self, count):
+        for vm_id in self._members.table.dead.sample(self._members.rng, count):
+            self._members.prober.probe(vm_id)
+
+    def _exchange(self):
+        members = self._members
+        members.exchange_with(members.table.living.choose(members.rng))
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -6,6 +6,7 @@
 import random
 import time
 
+from dandelionarch.core.announcements import CHECK_PERIOD_S, Announcements
 from dandelionarch.core.checkpoints import Retention
 from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Verdict
 from dandelionarch.core.directory import Directory
@@ -15,7 +16,7 @@
 from dandelionarch.core.world import EndpointState, Vm
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
-from dandelionarch.daemon.gossip import DirectoryExchange
+from dandelionarch.daemon.gossip import Gossip
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
 from dandelionarch.daemon.link import PeerNetwork
@@ -104,9 +105,16 @@
         )
         self.http = IngressHttp(self.ingress, self.orders, self.active, settings.limits)
         self.admin = Admin(self)
-        self.exchange = DirectoryExchange(
-            self.network, self.directory, self.vm, cfg.seed_addresses
+        self.gossip = Gossip(
+            self.network,
+            self.directory,
+            self.vm,
+            cfg.shared_key.encode(),
+            cfg.seed_addresses,
         )
+        self.gossip.carry_offsets(self.streams.offsets)
+        self.gossip.on_peer_offsets(self.streams.peer_offsets)
+        self.announcements = Announcements()
         self._servers = []
         self._tasks = []
         self._stop_requested = None
@@ -127,6 +135,7 @@
         await self.client.start()
         await self.agent.start()
         await self.network.start(cfg.host, cfg.peer_port)
+        await self.gossip.start(cfg.host, cfg.gossip_port)
         for app, port in (
             (self.admin.app, cfg.admin_port),
             (self.http.app, cfg.ingress_port),
@@ -139,7 +148,9 @@
             self._servers.append(server)
         for coro in (
             self.streams.run(),
-            self.exchange.run(),
+            self.gossip.run(),
+            self.gossip.run_seeds(),
+            self._watch_endpoints(),
             self.order_homes.run(),
         ):
             self._tasks.append(asyncio.create_task(coro))
@@ -147,6 +158,7 @@
     async def _drain(self):
         """Refuse new work, tell the peers, and finish what is in flight."""
         event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
+        self.gossip.leave()
         self.http.stopping = True
         self.agent.stopping = True
         for link in self.network.all_links():
@@ -162,16 +174,26 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in self._servers:
             server.close()
+        self.gossip.stop()
         await self.network.stop()
         await self.agent.stop()
         await self.client.stop()
 
+    async def _watch_endpoints(self):
+        """Treat endpoints that no longer announce themselves as gone."""
+        while True:
+            await asyncio.sleep(CHECK_PERIOD_S)
+            for endpoint in self.announcements.silent(self.network.now()):
+                event(log, "endpoint_silent", endpoint=endpoint.endpoint_id)
+                self.directory.put_endpoint(endpoint)
+
     def announced(self, endpoint):
         """Take note of an endpoint beside this daemon."""
         if self._drained.get(endpoint.endpoint_id) == endpoint.incarnation and (
             endpoint.state is not EndpointState.GONE
         ):
             endpoint = dataclasses.replace(endpoint, state=EndpointState.DRAINING)
+        self.announcements.heard(endpoint, self.network.now())
         if self.directory.put_endpoint(endpoint):
             event(
                 log,
--- a/dandelionarch/daemon/gossip.py
+++ b/dandelionarch/daemon/gossip.py
@@ -1,113 +1,320 @@
-"""Exchange of VMs and endpoints between daemons."""
+"""Gossip: the task that owns the UDP port and drives the membership."""
 
 import asyncio
-import dataclasses
+import contextlib
 import logging
+import random
+from collections import Counter
 
-from dandelionarch.core.messages import members
+from dandelionarch.core import member_events as events
+from dandelionarch.core import members as table_of
+from dandelionarch.core.membership import TICK_S, Membership
+from dandelionarch.core.messages import members as msgs
 from dandelionarch.core.messages.request import Leaving
-from dandelionarch.core.world import Endpoint, EndpointState, Health, Vm, VmState
-from dandelionarch.errors import LinkError
+from dandelionarch.core.rejoin import JOIN_PERIOD_S, SEED_PERIOD_S
+from dandelionarch.core.world import Endpoint, EndpointState, VmState
+from dandelionarch.errors import (
+    FrameTooLargeError,
+    LinkError,
+    MessageDecodeError,
+    WireError,
+)
 from dandelionarch.logs import event
+from dandelionarch.metrics import Metrics
+from dandelionarch.wire.codec import Codec
+from dandelionarch.wire.datagram import DatagramCodec
 
 log = logging.getLogger(__name__)
 
-EXCHANGE_PERIOD_S = 1.0
+BAD_DATAGRAM_LOG_PERIOD_S = 10.0
+READY_POLL_S = 0.02
 ASK_TIMEOUT_S = 1.0
 
 
-def vm_record(vm):
-    """Return the message form of a VM."""
-    return members.VmRecord(
-        *(getattr(vm, f.name) for f in dataclasses.fields(vm) if f.name != "state"),
-        vm.state.value,
+def member_record(vm):
+    """Return the first record of this daemon."""
+    return msgs.MemberRecord(
+        vm.vm_id,
+        vm.data_centre,
+        vm.region,
+        vm.host,
+        vm.ingress_port,
+        vm.peer_port,
+        vm.gossip_port,
+        vm.admin_port,
+        vm.incarnation,
+        1,
+        table_of.ALIVE,
+        0,
+        (),
     )
 
 
-def vm_of(record):
-    """Return the VM of its message form."""
-    values = dataclasses.asdict(record)
-    return Vm(**{**values, "state": VmState(record.state)})
-
-
 def endpoint_record(endpoint):
     """Return the message form of an endpoint."""
-    values = dataclasses.asdict(endpoint)
-    values.update(state=endpoint.state.value, health=endpoint.health.value)
-    return members.EndpointRecord(**values)
-
+    return msgs.EndpointRecord(
+        endpoint.endpoint_id,
+        endpoint.vm_id,
+        endpoint.service,
+        endpoint.host,
+        endpoint.port,
+        endpoint.slots,
+        endpoint.connections,
+        endpoint.incarnation,
+        endpoint.state.value,
+        endpoint.health.value,
+    )
 
-def endpoint_of(record):
-    """Return the endpoint of its message form."""
-    values = dataclasses.asdict(record)
-    values.update(state=EndpointState(record.state), health=Health(record.health))
-    return Endpoint(**values)
 
+class Gossip(asyncio.DatagramProtocol):
+    """Carries out the membership's commands and feeds the directory.
 
-class DirectoryExchange:
-    """Task that asks the seeds and all known VMs for what they know."""
+    Parameters
+    ----------
+    network : PeerNetwork
+        Delivers `Leaving` from links.
+    directory : Directory
+    vm : Vm
+        This daemon.
+    shared_key : bytes
+        Key of the fleet.
+    seeds : iterable of (str, int)
+        Peer addresses: a seed is asked over a link for its gossip address.
+    """
 
-    def __init__(self, network, directory, vm, seeds):
+    def __init__(self, network, directory, vm, shared_key, seeds, metrics=None):
         self._network = network
         self._directory = directory
         self._vm = vm
-        self._seeds = seeds
-        network.subscribe(members.DirectoryQuery, self._on_query)
+        self._vm_id = vm.vm_id
+        self._seeds = [s for s in seeds if s != (vm.host, vm.peer_port)]
+        self._metrics = metrics or Metrics()
+        self._codec = DatagramCodec(Codec(), shared_key)
+        self.membership = Membership(member_record(vm), random.Random())
+        self.bad_datagrams = Counter()
+        self._bad_logged_at = None
+        self._bad_unlogged = 0
+        self._transport = None
+        self._refresh = None
+        self._offset_listeners = []
+        self._incarnation_listeners = []
+        self._offsets = dict
+        directory.on_change(self._on_directory_change)
+        directory.on_use(self._on_use)
         network.subscribe(Leaving, self._on_leaving)
+        network.subscribe(msgs.Join, self._on_seed_asked)
+
+    def on_peer_offsets(self, listener):
+        """Call `listener(vm_id, offsets)` for each peer's stream offsets."""
+        self._offset_listeners.append(listener)
+
+    def on_incarnation(self, listener):
+        """Call `listener(incarnation)` when this daemon has to raise its own."""
+        self._incarnation_listeners.append(listener)
+
+    def carry_offsets(self, source):
+        """Let probes carry the dict that `source()` returns."""
+        self._offsets = source
+
+    async def start(self, host, port):
+        """Open the UDP port."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(host, port))
 
     async def run(self):
-        """Exchange every period until cancelled."""
+        """Drive the membership until cancelled."""
         while True:
-            await asyncio.gather(
-                *(self._ask_seed(*address) for address in self._unknown_seeds()),
-                *(self._ask(vm.vm_id) for vm in self._others()),
-            )
-            await asyncio.sleep(EXCHANGE_PERIOD_S)
+            self.membership.set_offsets(self._offsets())
+            self._carry_out(self.membership.tick(self._now()))
+            await asyncio.sleep(TICK_S)
 
-    def _others(self):
-        return [vm for vm in self._directory.living_vms() if vm.vm_id != self._vm.vm_id]
+    async def run_seeds(self):
+        """Look for seeds that are no members yet, until cancelled."""
+        while True:
+            for address in self._strange_seeds():
+                await self._ask_seed(*address)
+            alone = not len(self.membership.table.living)
+            await asyncio.sleep(JOIN_PERIOD_S if alone else SEED_PERIOD_S)
 
-    def _unknown_seeds(self):
-        known = {(vm.host, vm.peer_port) for vm in self._directory.vms.values()}
+    def _strange_seeds(self):
+        known = {
+            (vm.host, vm.peer_port)
+            for vm in self._directory.vms.values()
+            if vm.state is not VmState.DEAD
+        }
         return [address for address in self._seeds if address not in known]
 
     async def _ask_seed(self, host, port):
         try:
             link = await self._network.dial(host, port)
-            self._learn(
-                await link.ask(
-                    members.DirectoryQuery(vm_record(self._vm)), ASK_TIMEOUT_S
-                )
-            )
+            join = msgs.Join(self.membership.me)
+            reply = await link.ask(join, ASK_TIMEOUT_S)
         except LinkError as exc:
             event(log, "seed_unreachable", logging.WARNING, detail=str(exc))
+            return
+        for record in reply.records:
+            address = table_of.address_of(record)
+            self._carry_out(self.membership.received(address, reply, self._now()))
+            self._send(address, join)
+
+    def _on_seed_asked(self, link, msg):
+        return msgs.Members((self.membership.me,), ())
+
+    def stop(self):
+        """Tell all members that this daemon has ended and close the port."""
+        if self._transport is not None:
+            self._carry_out(self.membership.left())
+            self._transport.close()
+
+    def leave(self):
+        """Tell all members that this daemon takes no new work."""
+        self._carry_out(self.membership.leave())
 
-    async def _ask(self, vm_id):
+    def set_fallback(self, addresses):
+        """Set the gossip addresses that the fleet stream announces."""
+        self.membership.seeds.set_fallback(addresses)
+
+    async def ensure(self, service, timeout_s):
+        """Wait until endpoint detail of a service is held; return False if it isn't.
+
+        A first request for a service needs this at fleets of more endpoints than are
+        kept eagerly.
+        """
+        self._on_use(service)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while not self.membership.details.has(service):
+                    await asyncio.sleep(READY_POLL_S)
+                return True
+        return False
+
+    def connection_made(self, transport):
+        """Keep the transport of the port."""
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        """Handle one datagram; count it if it can't be accepted."""
         try:
-            query = members.DirectoryQuery(vm_record(self._vm))
-            self._learn(await self._network.ask(vm_id, query, ASK_TIMEOUT_S))
-        except LinkError as exc:
-            event(log, "peer_unreachable", logging.WARNING, vm=vm_id, detail=str(exc))
-
-    def _learn(self, reply):
-        for record in (reply.sender, *reply.vms):
-            self._directory.put_vm(vm_of(record))
-        for record in reply.endpoints:
-            self._directory.put_endpoint(endpoint_of(record))
-
-    def _on_query(self, link, query):
-        self._directory.put_vm(vm_of(query.sender))
-        return members.DirectoryReply(
-            vm_record(self._vm),
-            tuple(vm_record(vm) for vm in self._directory.vms.values()),
-            tuple(
-                endpoint_record(e)
-                for e in self._directory.endpoints_of_vm(self._vm.vm_id)
-            ),
+            msg = self._codec.unpack(data)
+            if not isinstance(msg, msgs.MESSAGES):
+                raise MessageDecodeError(f"{type(msg).__name__} is not for gossip")
+            commands = self.membership.received(tuple(addr[:2]), msg, self._now())
+        except (WireError, KeyError, ValueError) as exc:
+            # A peer of a later version may name a state that this one lacks.
+            self._bad(type(exc).__name__, addr)
+            return
+        self._carry_out(commands)
+
+    def error_received(self, exc):
+        """Count what the socket reports, such as an unreachable peer."""
+        self._metrics.incr("gossip.socket_errors")
+
+    def _bad(self, error, addr):
+        self.bad_datagrams[error] += 1
+        self._metrics.incr("gossip.bad_datagrams")
+        self._bad_unlogged += 1
+        now = self._now()
+        last = self._bad_logged_at
+        if last is not None and now - last < BAD_DATAGRAM_LOG_PERIOD_S:
+            return
+        event(
+            log,
+            "bad_datagram",
+            logging.WARNING,
+            error=error,
+            source=addr[0],
+            count=self._bad_unlogged,
+        )
+        self._bad_logged_at = now
+        self._bad_unlogged = 0
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+    def _carry_out(self, commands):
+        for command in commands:
+            if isinstance(command, events.SendDatagram):
+                self._send(command.address, command.message)
+            else:
+                getattr(self, f"_do_{type(command).__name__.lower()}")(command)
+
+    def _send(self, address, message):
+        if self._transport is None or self._transport.is_closing():
+            return
+        try:
+            data = self._codec.pack(message)
+            self._transport.sendto(data, address)
+        except FrameTooLargeError as exc:
+            self._metrics.incr("gossip.too_large")
+            event(log, "datagram_too_large", logging.ERROR, detail=str(exc))
+        except OSError as exc:
+            self.error_received(exc)
+        else:
+            self._metrics.incr("gossip.datagrams_sent")
+            self._metrics.incr("gossip.bytes_sent", len(data))
+
+    def _do_memberchanged(self, command):
+        vm = command.vm
+        if vm.vm_id == self._vm_id:
+            # A raised incarnation would make the directory drop the endpoints of
+            # the former process, but these are this daemon's own.
+            own = self._directory.endpoints_of_vm(vm.vm_id)
+            self._directory.put_vm(vm)
+            for endpoint in own:
+                self._directory.put_endpoint(endpoint)
+        elif self._directory.put_vm(vm):
+            event(log, "vm_state", vm=vm.vm_id, state=vm.state.value)
+
+    def _do_memberforgotten(self, command):
+        self._directory.drop_vm(command.vm_id)
+
+    def _do_endpointslearnt(self, command):
+        present = {e.endpoint_id for e in command.endpoints}
+        for known in self._directory.endpoints_of_vm(command.vm_id):
+            if known.service == command.service and known.endpoint_id not in present:
+                self._directory.set_endpoint_state(
+                    known.endpoint_id, known.incarnation, EndpointState.GONE
+                )
+        for endpoint in command.endpoints:
+            self._directory.put_endpoint(endpoint)
+
+    def _do_endpointstatelearnt(self, command):
+        self._directory.set_endpoint_state(
+            command.endpoint_id, command.incarnation, command.state
         )
 
+    def _do_peeroffsets(self, command):
+        for listener in self._offset_listeners:
+            listener(command.vm_id, command.offsets)
+
+    def _do_incarnationraised(self, command):
+        event(log, "incarnation_raised", incarnation=command.incarnation)
+        for listener in self._incarnation_listeners:
+            listener(command.incarnation)
+
+    def _on_use(self, service):
+        self._carry_out(self.membership.use(service, self._now()))
+
+    def _on_directory_change(self, thing):
+        own = isinstance(thing, Endpoint) and thing.vm_id == self._vm_id
+        if own and self._refresh is None:
+            loop = asyncio.get_running_loop()
+            self._refresh = loop.call_soon(self._refresh_endpoints)
+
+    def _refresh_endpoints(self):
+        self._refresh = None
+        own = self._directory.endpoints_of_vm(self._vm_id)
+        self._carry_out(self.membership.set_endpoints(map(endpoint_record, own)))
+
     def _on_leaving(self, link, msg):
-        vm = self._directory.vms.get(msg.vm_id)
-        if vm is not None and link.vm_id == msg.vm_id:
-            self._directory.put_vm(dataclasses.replace(vm, state=VmState.LEAVING))
-            event(log, "vm_leaving", vm=msg.vm_id)
+        known = self.membership.table.records.get(msg.vm_id)
+        if known is None or link.vm_id != msg.vm_id or known.state == table_of.DEAD:
+            return
+        said = msgs.MemberVerdict(
+            known.vm_id, known.incarnation, known.edition, VmState.LEAVING.value
+        )
+        self._carry_out(
+            self.membership.received(
+                table_of.address_of(known), msgs.Members((), (said,)), self._now()
+            )
+        )
--- a/dandelionarch/wire/codec.py
+++ b/dandelionarch/wire/codec.py
@@ -106,10 +106,18 @@
 
     def encode(self, msg):
         """Return (channel, bytes) of a message."""
-        channel, name = self._by_class[type(msg)]
-        envelope = self._envelopes[channel].new_message(**{name: _to_dict(msg)})
+        channel, envelope = self._envelope(msg)
         return channel, envelope.to_bytes()
 
+    def encode_packed(self, msg):
+        """Return (channel, bytes) of a message in Cap'n Proto's packed form."""
+        channel, envelope = self._envelope(msg)
+        return channel, envelope.to_bytes_packed()
+
+    def _envelope(self, msg):
+        channel, name = self._by_class[type(msg)]
+        return channel, self._envelopes[channel].new_message(**{name: _to_dict(msg)})
+
     def decode(self, channel, data):
         """Return the message of a payload.
 
@@ -125,8 +133,28 @@
                 traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
                 nesting_limit=NESTING_LIMIT,
             ) as envelope:
-                name = envelope.which()
-                cls = self._by_name[channel, str(name)]
-                return _from_reader(cls, getattr(envelope, str(name)))
+                return self._message(channel, envelope)
+        except (capnp.KjException, ValueError, KeyError, UnicodeDecodeError) as exc:
+            raise MessageDecodeError(f"channel {channel}: {exc}") from exc
+
+    def decode_packed(self, channel, data):
+        """Return the message of a payload in packed form.
+
+        Raises
+        ------
+        MessageDecodeError
+            If the channel is unknown or the payload is no valid message.
+        """
+        try:
+            envelope = self._envelopes[Channel(channel)].from_bytes_packed(
+                data,
+                traversal_limit_in_words=TRAVERSAL_LIMIT_WORDS,
+                nesting_limit=NESTING_LIMIT,
+            )
+            return self._message(channel, envelope)
         except (capnp.KjException, ValueError, KeyError, UnicodeDecodeError) as exc:
             raise MessageDecodeError(f"channel {channel}: {exc}") from exc
+
+    def _message(self, channel, envelope):
+        name = str(envelope.which())
+        return _from_reader(self._by_name[channel, name], getattr(envelope, name))
--- /dev/null
+++ b/dandelionarch/wire/datagram.py
@@ -0,0 +1,81 @@
+"""Authenticated datagrams between daemons.
+
+A datagram is a version byte, the channel, the message in packed form and a code over
+all of it with a key derived from the fleet's. It carries no sequence number: a
+datagram that is replayed only repeats incarnations and editions, which receivers have
+already, or asks for a reply that goes to the address it came from.
+"""
+
+import hashlib
+import hmac
+import struct
+
+from dandelionarch.errors import (
+    AuthenticationError,
+    FrameTooLargeError,
+    MessageDecodeError,
+    VersionMismatchError,
+)
+from dandelionarch.wire.framing import MAC_SIZE, PROTOCOL_VERSION
+
+# Below the smallest usual path MTU of 1,280 bytes with its headers.
+MAX_DATAGRAM_BYTES = 1200
+HEAD = struct.Struct("!BB")
+KEY_PURPOSE = b"dandelion gossip"
+
+
+class DatagramCodec:
+    """Packs messages into datagrams and back.
+
+    Parameters
+    ----------
+    codec : Codec
+    shared_key : bytes
+        Key of the fleet.
+    """
+
+    def __init__(self, codec, shared_key):
+        self._codec = codec
+        self._key = hmac.digest(shared_key, KEY_PURPOSE, hashlib.sha256)
+
+    def pack(self, message):
+        """Return the datagram of a message.
+
+        Raises
+        ------
+        FrameTooLargeError
+            If the datagram would exceed `MAX_DATAGRAM_BYTES`.
+        """
+        channel, payload = self._codec.encode_packed(message)
+        content = HEAD.pack(PROTOCOL_VERSION, channel) + payload
+        if len(content) + MAC_SIZE > MAX_DATAGRAM_BYTES:
+            name = type(message).__name__
+            raise FrameTooLargeError(f"{name} datagram of {len(content)} bytes")
+        return content + self._mac(content)
+
+    def unpack(self, data):
+        """Return the message of a datagram.
+
+        Raises
+        ------
+        WireError
+            If the datagram is too short or too long, not authentic, of another
+            version, or no valid message.
+        """
+        if len(data) > MAX_DATAGRAM_BYTES:
+            raise FrameTooLargeError(f"datagram of {len(data)} bytes")
+        if len(data) < HEAD.size + MAC_SIZE:
+            raise MessageDecodeError(f"datagram of {len(data)} bytes is too short")
+        content, mac = data[:-MAC_SIZE], data[-MAC_SIZE:]
+        if not hmac.compare_digest(self._mac(content), mac):
+            raise AuthenticationError("datagram authentication failed")
+        version, channel = HEAD.unpack_from(content)
+        if version != PROTOCOL_VERSION:
+            raise VersionMismatchError(
+                f"peer speaks protocol version {version}, not {PROTOCOL_VERSION}"
+            )
+        return self._codec.decode_packed(channel, content[HEAD.size :])
+
+    def _mac(self, content):
+        mac = hashlib.blake2b(content, key=self._key, digest_size=MAC_SIZE)
+        return mac.digest()
--- /dev/null
+++ b/tests/test_gossip.py
@@ -0,0 +1,189 @@
+"""The gossip task on loopback, and the watch over local endpoints."""
+
+import asyncio
+import logging
+
+from dandelionarch.core.announcements import CHECK_PERIOD_S, SILENT_S, Announcements
+from dandelionarch.core.directory import Directory
+from dandelionarch.core.messages import members as msgs
+from dandelionarch.core.messages.request import Leaving, Ping
+from dandelionarch.core.world import Endpoint, EndpointState, Vm, VmState
+from dandelionarch.daemon.gossip import Gossip
+from dandelionarch.wire.codec import Codec
+from dandelionarch.wire.datagram import DatagramCodec
+from tests.support.fleet import free_ports
+
+KEY = b"0123456789abcdef"
+
+
+class FakeNetwork:
+    """Keeps the handlers that the gossip task subscribes."""
+
+    def __init__(self):
+        self.handlers = {}
+
+    def subscribe(self, msg_type, handler):
+        """Keep a handler."""
+        self.handlers[msg_type] = handler
+
+
+class FakeLink:
+    """An established link of a VM."""
+
+    def __init__(self, vm_id):
+        self.vm_id = vm_id
+
+
+class Daemon:
+    """A gossip task with its directory."""
+
+    def __init__(self, vm_id, incarnation=5):
+        self.port = free_ports(1)[0]
+        self.vm = Vm(vm_id, "dc", "r", "127.0.0.1", 1, 2, self.port, 4, incarnation)
+        self.directory = Directory()
+        self.directory.put_vm(self.vm)
+        self.network = FakeNetwork()
+        self.gossip = Gossip(self.network, self.directory, self.vm, KEY, [])
+
+    def endpoint(self, endpoint_id, state=EndpointState.READY):
+        """Return an endpoint beside this daemon."""
+        return Endpoint(
+            endpoint_id, self.vm.vm_id, "orders", "127.0.0.1", 9, 3, 330, 1, state
+        )
+
+
+async def started(*daemons):
+    """Start gossip tasks that know of the first daemon."""
+    tasks = []
+    for daemon in daemons:
+        daemon.gossip.set_fallback([("127.0.0.1", daemons[0].port)])
+        await daemon.gossip.start("127.0.0.1", daemon.port)
+        tasks.append(asyncio.create_task(daemon.gossip.run()))
+    return tasks
+
+
+async def until(check):
+    """Wait, for a bounded time, until a check holds."""
+    for _ in range(400):
+        if check():
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError("waited in vain")
+
+
+class TestGossip:
+    """Datagrams on loopback feed the directory."""
+
+    def test_endpoints_and_their_drain_reach_the_other_directory(self):
+        """Guards the way from an announcement to the other daemons' selection."""
+
+        async def run():
+            one, two = Daemon("vm-1"), Daemon("vm-2")
+            tasks = await started(one, two)
+            two.directory.put_endpoint(two.endpoint("e-1"))
+            await until(lambda: "e-1" in one.directory.endpoints)
+            two.directory.put_endpoint(two.endpoint("e-1", EndpointState.DRAINING))
+            await until(
+                lambda: one.directory.endpoints["e-1"].state is EndpointState.DRAINING
+            )
+            two.directory.put_endpoint(two.endpoint("e-1", EndpointState.GONE))
+            await until(lambda: "e-1" not in one.directory.endpoints)
+            two.gossip.leave()
+            await until(lambda: one.directory.vms["vm-2"].state is VmState.LEAVING)
+            for task in tasks:
+                task.cancel()
+            two.gossip.stop()
+            await until(lambda: one.directory.vms["vm-2"].state is VmState.DEAD)
+            one.gossip.stop()
+
+        asyncio.run(run())
+
+    def test_leaving_on_a_link_counts_at_once(self):
+        """Guards peers whose datagram was lost against choosing a leaving VM."""
+
+        async def run():
+            one, two = Daemon("vm-1"), Daemon("vm-2")
+            record = two.gossip.membership.me
+            one.gossip._carry_out(
+                one.gossip.membership.received(("x", 1), msgs.Members((record,), ()), 0)
+            )
+            leaving = one.network.handlers[Leaving]
+            leaving(FakeLink("vm-3"), Leaving("vm-2"))
+            assert one.directory.vms["vm-2"].state is VmState.ALIVE
+            leaving(FakeLink("vm-2"), Leaving("vm-2"))
+            assert one.directory.vms["vm-2"].state is VmState.LEAVING
+
+        asyncio.run(run())
+
+    def test_bad_datagrams_are_counted_and_logged_at_a_bounded_rate(self, caplog):
+        """Guards the log and the task against a stranger's datagrams."""
+        good = DatagramCodec(Codec(), KEY)
+        stranger = DatagramCodec(Codec(), b"another key 1234")
+        odd = msgs.EndpointStateRecord("e-1", 1, "odd")
+        bad = [
+            b"",
+            b"x" * 60,
+            stranger.pack(msgs.MemberQuery(("vm-1",))),
+            good.pack(Ping(1)),
+            good.pack(msgs.EndpointStates("vm-1", 5, (odd,))),
+        ]
+
+        async def run():
+            daemon = Daemon("vm-1")
+            for _ in range(20):
+                for data in bad:
+                    daemon.gossip.datagram_received(data, ("127.0.0.1", 1))
+            return daemon.gossip.bad_datagrams
+
+        logging.getLogger("dandelionarch").propagate = True
+        with caplog.at_level(logging.WARNING):
+            counted = asyncio.run(run())
+        assert counted.total() == 100
+        assert [r.message for r in caplog.records] == ["bad_datagram"]
+
+    def test_own_endpoints_survive_a_raised_incarnation(self):
+        """Guards a restart with a slow clock against dropping its own workers."""
+
+        async def run():
+            daemon = Daemon("vm-1")
+            daemon.directory.put_endpoint(daemon.endpoint("e-1"))
+            raised = []
+            daemon.gossip.on_incarnation(raised.append)
+            former = daemon.gossip.membership.me
+            newer = msgs.MemberRecord(
+                *(getattr(former, name) for name in former.__slots__[:8]),
+                90,
+                *(getattr(former, name) for name in former.__slots__[9:]),
+            )
+            daemon.gossip._carry_out(
+                daemon.gossip.membership.received(
+                    ("x", 1), msgs.Members((newer,), ()), 0
+                )
+            )
+            assert raised == [daemon.directory.vms["vm-1"].incarnation]
+            assert raised[0] > 90
+            assert "e-1" in daemon.directory.endpoints
+
+        asyncio.run(run())
+
+
+class TestAnnouncements:
+    """Endpoints that fall silent are gone."""
+
+    def test_silent_endpoint_is_gone(self):
+        """Guards against work for a worker that has vanished."""
+        watch, endpoint = Announcements(), Daemon("vm-1").endpoint("e-1")
+        watch.heard(endpoint, 0.0)
+        silent = []
+        for step in range(20):
+            silent += watch.silent(step * CHECK_PERIOD_S)
+        assert [(e.endpoint_id, e.state) for e in silent] == [
+            ("e-1", EndpointState.GONE)
+        ]
+
+    def test_pause_of_the_daemon_is_not_silence_of_its_endpoints(self):
+        """Guards a daemon that wakes up against dropping all its workers."""
+        watch, endpoint = Announcements(), Daemon("vm-1").endpoint("e-1")
+        watch.heard(endpoint, 0.0)
+        assert watch.silent(0.5) == []
+        assert watch.silent(0.5 + 10 * SILENT_S) == []
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,297 @@
+"""Membership on a virtual clock and network."""
+
+import dataclasses
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dandelionarch.core import details, exchange
+from dandelionarch.core import members as table_of
+from dandelionarch.core.membership import TICK_S
+from dandelionarch.core.messages import members as msgs
+from dandelionarch.errors import (
+    AuthenticationError,
+    FrameTooLargeError,
+    WireError,
+)
+from dandelionarch.measure.virtual_fleet import KEY, STREAMS, VirtualFleet
+from dandelionarch.wire.codec import Codec
+from dandelionarch.wire.datagram import MAX_DATAGRAM_BYTES, DatagramCodec
+
+CODEC = DatagramCodec(Codec(), KEY)
+
+
+def deaths(fleet):
+    """Return how often any daemon held another one dead."""
+    return sum(
+        state == "dead" for d in fleet.daemons.values() for *_, state in d.changes
+    )
+
+
+def region(daemon):
+    """Return the region of a virtual daemon."""
+    return daemon.membership.me.region
+
+
+def verdict(record):
+    """Return the first fields of a verdict on a record."""
+    return record.vm_id, record.incarnation, record.edition
+
+
+class TestFailureDetection:
+    """Dead members are found, living ones are not taken for dead."""
+
+    def test_killed_daemon_is_held_dead_by_all(self):
+        """Guards against work for a VM that has died."""
+        fleet = VirtualFleet(20)
+        fleet.run(5)
+        fleet.kill("vm-3")
+        assert fleet.run_until(lambda: fleet.held("vm-3", "dead") == 19, 15)
+
+    def test_one_way_partition_between_two_daemons_is_no_death(self):
+        """Guards the probes by way of other members."""
+        fleet = VirtualFleet(6)
+        fleet.cut = lambda s, t: (s.vm_id, t.vm_id) == ("vm-1", "vm-2")
+        fleet.run(120)
+        assert deaths(fleet) == 0
+        assert sum(d.membership.wrongly_suspected for d in fleet.daemons.values()) == 0
+
+    def test_lost_datagrams_cause_no_death(self):
+        """Guards the refutation of wrong suspicions."""
+        fleet = VirtualFleet(20, loss=0.15)
+        fleet.run(300)
+        assert sum(d.membership.wrongly_suspected for d in fleet.daemons.values())
+        assert deaths(fleet) == 0
+
+    def test_paused_daemon_returns_and_accuses_nobody(self):
+        """Guards the fleet against the old view of a process that wakes up."""
+        fleet = VirtualFleet(12)
+        fleet.run(5)
+        fleet.pause("vm-4")
+        assert fleet.run_until(lambda: fleet.held("vm-4", "dead") == 11, 20)
+        fleet.run(30)
+        woken = fleet.daemons["vm-4"]
+        woken.changes.clear()
+        fleet.wake("vm-4")
+        assert fleet.run_until(lambda: fleet.held("vm-4", "alive") == 11, 60)
+        fleet.run(20)
+        assert not [c for c in woken.changes if c[2] != "alive"]
+
+    def test_suspicion_does_not_run_out_while_the_process_is_paused(self):
+        """Guards against deaths that a process declares because it was paused."""
+        fleet = VirtualFleet(3)
+        fleet.run(5)
+        member = fleet.daemons["vm-0"].membership
+        now = fleet.timers.now()
+        record = member.table.records["vm-1"]
+        member.learn([], [msgs.MemberVerdict(*verdict(record), "suspect")], now)
+        member.tick(now + 600)
+        assert member.table.records["vm-1"].state == "suspect"
+        for step in range(1, 13):
+            member.tick(now + 600 + step * TICK_S)
+        assert member.table.records["vm-1"].state == "dead"
+
+    def test_regions_apart_for_an_hour_meet_again(self):
+        """Guards against two halves that hold each other dead for good, and against
+        deaths within a region when the halves meet."""
+        fleet = VirtualFleet(8, seeds=())
+        fleet.run(5)
+        fleet.cut = lambda s, t: region(s) != region(t)
+        fleet.run(3600)
+        assert fleet.held("vm-0", "dead", lambda d: region(d) == "region-1") == 4
+        for daemon in fleet.daemons.values():
+            daemon.changes.clear()
+        fleet.cut = lambda s, t: False
+
+        def whole():
+            return all(fleet.held(vm, "alive") == 7 for vm in fleet.daemons)
+
+        assert fleet.run_until(whole, 120)
+        assert deaths(fleet) == 0
+
+
+class TestJoiningAndLeaving:
+    """Members come, go and are replaced."""
+
+    def test_leaving_is_known_to_all_at_once_and_needs_no_suspicion(self):
+        """Guards the bound after which a leaving VM gets no new work."""
+        fleet = VirtualFleet(30, loss=0.01)
+        fleet.run(5)
+        fleet.leave("vm-2", stop_after_s=5)
+        assert fleet.run_until(lambda: fleet.held("vm-2", "leaving") == 29, 3)
+        assert fleet.run_until(lambda: fleet.held("vm-2", "dead") == 29, 10)
+        states = {c[2] for d in fleet.daemons.values() for c in d.changes}
+        assert states == {"leaving", "dead"}
+
+    @pytest.mark.parametrize("clock_ms", [None, 5])
+    def test_new_incarnation_at_the_same_address_replaces_the_old(self, clock_ms):
+        """Guards restarts, also with a clock that is behind the former one."""
+        fleet = VirtualFleet(10)
+        fleet.run(5)
+        fleet.kill("vm-6")
+        new = fleet.start("vm-6", 6, incarnation=clock_ms, seeds=fleet.seeds)
+        assert fleet.run_until(
+            lambda: (
+                {
+                    d.membership.table.records["vm-6"].incarnation
+                    for d in fleet.daemons.values()
+                }
+                == {new.membership.me.incarnation}
+            ),
+            20,
+        )
+        assert bool(new.raised) == (clock_ms is not None)
+        assert fleet.run_until(lambda: fleet.held("vm-6", "alive") == 9, 20)
+
+    def test_other_vm_at_the_address_ends_the_former_one_at_once(self):
+        """Guards against waiting out a suspicion for a VM that was replaced."""
+        fleet = VirtualFleet(10)
+        fleet.run(5)
+        fleet.kill("vm-6")
+        fleet.start("vm-new", 6, seeds=fleet.seeds)
+        assert fleet.run_until(lambda: fleet.held("vm-6", "dead") == 9, 4)
+
+    def test_joins_by_the_fleet_stream_when_the_seeds_are_gone(self):
+        """Guards a start after all seeds were replaced elsewhere."""
+        fleet = VirtualFleet(6)
+        new = fleet.start("vm-new", 77, seeds=[("10.9.9.9", 7000)])
+        fleet.run(5)
+        assert not new.states
+        new.membership.seeds.set_fallback([fleet.daemons["vm-5"].address])
+        assert fleet.run_until(lambda: fleet.held("vm-new", "alive") == 6, 10)
+        assert len(new.membership.table.living) == 6
+
+    def test_late_words_of_a_former_process_change_nothing(self):
+        """Guards against a delayed record bringing an old incarnation back."""
+        fleet = VirtualFleet(3)
+        member = fleet.daemons["vm-0"].membership
+        old = member.table.records["vm-1"]
+        new = dataclasses.replace(old, incarnation=old.incarnation + 5)
+        assert member.received(("x", 1), msgs.Members((new,), ()), 1000.0)
+        assert member.received(("x", 1), msgs.Members((old,), ()), 1000.0) == []
+        assert member.table.records["vm-1"] == new
+
+
+class TestExchange:
+    """Differences that updates missed are found."""
+
+    @pytest.mark.parametrize(
+        "exchange_type", [exchange.TreeExchange, exchange.PlainExchange]
+    )
+    def test_exchange_brings_tables_together(self, exchange_type):
+        """Guards daemons that missed updates while they were cut off."""
+        fleet = VirtualFleet(60, wire=True, exchange_type=exchange_type)
+        tables = [d.membership.table for d in fleet.daemons.values()]
+        for table, gone in ((tables[0], range(20, 40)), (tables[1], range(40, 55))):
+            for index in gone:
+                table.remove(f"vm-{index}")
+        first = fleet.daemons["vm-0"]
+        for _ in range(3):
+            first.membership.exchange_with("vm-1")
+            fleet._carry_out(first, first.membership.tick(fleet.timers.now()))
+            fleet.run(0.1)
+        assert len(tables[0].records) == len(tables[1].records) == 60
+        assert tables[0].tree.digest(0, 0) == tables[1].tree.digest(0, 0)
+
+
+class TestEndpointDetail:
+    """Detail is held for services in use and kept fresh."""
+
+    def test_detail_is_fetched_for_services_in_use_only(self, monkeypatch):
+        """Guards memory and traffic at fleets with many services."""
+        monkeypatch.setattr(details, "EAGER_ENDPOINTS", 0)
+        fleet = VirtualFleet(10, workers=8)
+        fleet.run(5)
+        user = fleet.daemons["vm-0"]
+        assert user.endpoints == {}
+        record = fleet.daemons["vm-3"].membership.me
+        service = record.services[0].service
+        fleet._carry_out(user, user.membership.use(service, fleet.timers.now()))
+        fleet.run(0.1)
+        assert {key[1] for key in user.endpoints} == {service}
+        assert len(user.endpoints["vm-3", service]) == record.services[0].endpoints
+
+    def test_drained_endpoint_is_known_to_all(self):
+        """Guards the bound after which a draining endpoint gets no new work."""
+        fleet = VirtualFleet(30, workers=3, loss=0.01)
+        fleet.run(5)
+        daemon = fleet.daemons["vm-1"]
+        first, *rest = daemon.membership._endpoints
+        drained = dataclasses.replace(first, state="draining")
+        fleet._carry_out(daemon, daemon.membership.set_endpoints([drained, *rest]))
+
+        def known():
+            return sum(
+                d.endpoints["vm-1", first.service][first.endpoint_id].state.value
+                == "draining"
+                or (first.endpoint_id, "draining") in {c[1:] for c in d.changes}
+                for d in fleet.daemons.values()
+                if d is not daemon
+            )
+
+        assert fleet.run_until(lambda: known() == 29, 3)
+
+    def test_probes_carry_a_bounded_choice_of_stream_offsets(self):
+        """Guards the size of probes, and that no stream is left out for good."""
+        fleet = VirtualFleet(2)
+        seen = set()
+        for _ in range(10):
+            fleet.run(1)
+            offsets = fleet.daemons["vm-0"].offsets["vm-1"]
+            assert len(offsets) <= 6 and {"config", "fleet"} <= set(offsets)
+            seen |= set(offsets)
+        assert seen == set(STREAMS)
+
+
+names = st.text(st.sampled_from("abcdefgh-0123456789"), min_size=1, max_size=63)
+member_records = st.builds(
+    msgs.MemberRecord,
+    names,
+    names,
+    names,
+    st.just("255.255.255.255"),
+    *[st.integers(1, 65535)] * 4,
+    st.integers(0, 2**63),
+    st.integers(0, 2**31),
+    st.sampled_from(["alive", "suspect", "leaving", "dead"]),
+    st.integers(0, 2**31),
+    st.lists(
+        st.builds(msgs.ServiceSlots, names, st.integers(0, 99), st.integers(0, 2**31)),
+        max_size=9,
+    ).map(tuple),
+)
+
+
+class TestDatagrams:
+    """Datagrams stay small and only authentic ones are read."""
+
+    @settings(derandomize=True, deadline=None, max_examples=60)
+    @given(st.lists(member_records, min_size=1, max_size=12))
+    def test_packed_records_fit_a_datagram(self, records):
+        """Guards the size estimates by which the core splits messages."""
+        for message in exchange.members_messages(records):
+            assert len(CODEC.pack(message)) <= MAX_DATAGRAM_BYTES
+        for message in exchange.verdict_messages(map(table_of.verdict_of, records)):
+            assert len(CODEC.pack(message)) <= MAX_DATAGRAM_BYTES
+
+    def test_message_returns_from_its_datagram(self):
+        """Guards the schema against the message classes."""
+        record = VirtualFleet(1, workers=5).daemons["vm-0"].membership.me
+        message = msgs.Probe(
+            "a", 1, 2, 3, "b", (msgs.StreamOffset("s", 4),), (record,), ()
+        )
+        assert CODEC.unpack(CODEC.pack(message)) == message
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=80), st.integers(0, 60), st.integers(1, 255))
+    def test_bad_datagrams_raise_wire_errors(self, noise, place, flip):
+        """Guards the gossip port against strangers and damaged datagrams."""
+        good = bytearray(CODEC.pack(msgs.MemberQuery(("vm-1", "vm-2"))))
+        good[place % len(good)] ^= flip
+        with pytest.raises(AuthenticationError):
+            CODEC.unpack(bytes(good))
+        with pytest.raises(WireError):
+            CODEC.unpack(noise)
+        with pytest.raises(FrameTooLargeError):
+            CODEC.unpack(bytes(MAX_DATAGRAM_BYTES + 1))
