Announce, withdraw and claim through the fleet stream

A planned stop tells the membership and all links first, refuses new work, finishes what runs and sends what is buffered, withdraws, and then ends.

--- a/dandelionarch/core/claims.py
+++ b/dandelionarch/core/claims.py
@@ -139,6 +139,19 @@
         """Stop every ejection, as when the platform's floor cannot be known."""
         return self._stop(lambda c: True, reason) + self.unconfirmed()
 
+    def stop_some(self, service, count, reason):
+        """Stop ejecting the `count` least unhealthy endpoints of a service."""
+        own = sorted(
+            (
+                c
+                for c in self._claims.values()
+                if c.state is ClaimState.EJECTED and c.record.service == service
+            ),
+            key=lambda c: (c.record.score, c.record.endpoint_id),
+        )
+        chosen = {c.record.number for c in own[:count]}
+        return self._stop(lambda c: c.record.number in chosen, reason)
+
     def unconfirmed(self):
         """Return the appends of all `Readmit` records not yet read back.
 
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -16,6 +16,7 @@
 from dandelionarch.core.world import EndpointState, Vm
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
+from dandelionarch.daemon.fleet import FleetService
 from dandelionarch.daemon.gossip import Gossip
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
@@ -86,6 +87,9 @@
         self.streams.on_applied(CONFIG_STREAM, self._on_publication)
         self.streams.on_restored(CONFIG_STREAM, self._use_config)
         self.streams.on_ready(self._use_config)
+        self.fleet = FleetService(
+            self.streams, self.directory, self.vm, self._accepted_lists
+        )
         self.agent = Agent(self.network, self.directory, self.vm_id)
         self.ingress = Ingress(self.network, self.directory, self.agent)
         self.order_homes = OrderHomes(
@@ -114,6 +118,8 @@
         )
         self.gossip.carry_offsets(self.streams.offsets)
         self.gossip.on_peer_offsets(self.streams.peer_offsets)
+        self.gossip.on_incarnation(self.fleet.use_incarnation)
+        self.gossip.carry_addresses(self.fleet.fold.addresses)
         self.announcements = Announcements()
         self._servers = []
         self._tasks = []
@@ -151,6 +157,7 @@
             self.gossip.run(),
             self.gossip.run_seeds(),
             self._watch_endpoints(),
+            self.fleet.run(),
             self.order_homes.run(),
         ):
             self._tasks.append(asyncio.create_task(coro))
@@ -165,8 +172,14 @@
             link.send(msgs.Leaving(self.vm_id))
         loop = asyncio.get_running_loop()
         limit = loop.time() + self.settings.limits.stop_timeout_s
-        while (self.agent.in_flight or self.http.in_flight) and loop.time() < limit:
+        while self._is_busy() and loop.time() < limit:
             await asyncio.sleep(STOP_POLL_S)
+        await self.fleet.leave()
+
+    def _is_busy(self):
+        """Return True while requests run here or answers wait to be sent."""
+        in_flight = self.agent.in_flight or self.http.in_flight
+        return bool(in_flight or self.network.unsent())
 
     async def _stop(self):
         for task in self._tasks:
@@ -230,6 +243,7 @@
             "offsets": self.streams.offsets(),
             "ready": self.streams.ready,
             "log_available": self.streams.available,
+            "headroom": self.fleet.headroom(),
             "vms": {vm.vm_id: vm.state.value for vm in self.directory.vms.values()},
             "endpoints": {
                 e.endpoint_id: {
@@ -261,6 +275,10 @@
         if self.streams.ready and self.config.state.revision:
             self.active.use(self.config.state.lists)
 
+    def _accepted_lists(self):
+        state = self.config.state
+        return (state.revision, state.lists) if state.revision else None
+
     def _address(self, vm_id):
         vm = self.directory.vms.get(vm_id)
         return None if vm is None else (vm.host, vm.peer_port)
--- a/dandelionarch/daemon/gossip.py
+++ b/dandelionarch/daemon/gossip.py
@@ -99,6 +99,7 @@
         self._offset_listeners = []
         self._incarnation_listeners = []
         self._offsets = dict
+        self._addresses = list
         directory.on_change(self._on_directory_change)
         directory.on_use(self._on_use)
         network.subscribe(Leaving, self._on_leaving)
@@ -116,6 +117,10 @@
         """Let probes carry the dict that `source()` returns."""
         self._offsets = source
 
+    def carry_addresses(self, source):
+        """Join by the gossip addresses that `source()` returns when seeds are gone."""
+        self._addresses = source
+
     async def start(self, host, port):
         """Open the UDP port."""
         loop = asyncio.get_running_loop()
@@ -125,6 +130,8 @@
         """Drive the membership until cancelled."""
         while True:
             self.membership.set_offsets(self._offsets())
+            if not len(self.membership.table.living):
+                self.membership.seeds.set_fallback(self._addresses())
             self._carry_out(self.membership.tick(self._now()))
             await asyncio.sleep(TICK_S)
 
@@ -170,10 +177,6 @@
         """Tell all members that this daemon takes no new work."""
         self._carry_out(self.membership.leave())
 
-    def set_fallback(self, addresses):
-        """Set the gossip addresses that the fleet stream announces."""
-        self.membership.seeds.set_fallback(addresses)
-
     async def ensure(self, service, timeout_s):
         """Wait until endpoint detail of a service is held; return False if it isn't.
 
--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -114,6 +114,10 @@
                 raise MessageDecodeError("first frame does not identify the peer")
             self.vm_id = VmId(frame.payload.decode("ascii", "replace"))
 
+    def unsent(self):
+        """Return the bytes that wait in the sending buffer."""
+        return 0 if self.closed else self._writer.transport.get_write_buffer_size()
+
     async def run(self):
         """Read frames until the connection ends; then fail pending asks."""
         try:
@@ -269,6 +273,10 @@
         """Return True if a link to the VM is established (or is this VM)."""
         return vm_id == self.vm_id or vm_id in self._links
 
+    def unsent(self):
+        """Return the bytes that wait in the sending buffers of all links."""
+        return sum(link.unsent() for link in self.all_links())
+
     def all_links(self):
         """Return every established link, dialled or accepted."""
         return [*self._links.values(), *self._accepted]
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -56,7 +56,7 @@
     """Start gossip tasks that know of the first daemon."""
     tasks = []
     for daemon in daemons:
-        daemon.gossip.set_fallback([("127.0.0.1", daemons[0].port)])
+        daemon.gossip.carry_addresses(lambda: [("127.0.0.1", daemons[0].port)])
         await daemon.gossip.start("127.0.0.1", daemon.port)
         tasks.append(asyncio.create_task(daemon.gossip.run()))
     return tasks
