Make the request path truthful when workers, links or callers fail

The thin path had faults that let a caller see a wrong or missing outcome: - aiohttp resends a PUT or DELETE whose reused connection broke, also where the route is not idempotent; a client middleware now replaces the errors on which it does so. A failure to connect is reported only by errors of connecting, so it proves that no byte was sent. - aiohttp keeps bytes that arrive on an idle pooled connection and takes them as the answer to the next request; the connector now drops such connections. - An answer without a length looked whole when it was cut; it counts as broken. - A part of a body was left out silently when the link's buffer was full; the sender now waits, and the link is closed if the peer does not read at all. - Dialling a VM twice closed the link under the requests in flight on it. - Repeated fields collapsed, header bytes that are not UTF-8 broke the encoding, and the target was normalised on the way. - A lost connection excluded its endpoint from the retry, though the endpoint had not failed.

Request bodies above 256 KiB are streamed: the start is kept for replay, which equals the agent's window, and more is taken from the caller only after the endpoint has read; from then on the request is not sent again.

Links use asyncio protocols, ping when idle and are closed when silent. The daemon tells peers before it refuses work, and reports all parts that fail to start or stop as an exception group.

Each test of test_path_failures.py was run with its mechanism switched off and failed, except that the label of a cut answer may be either of two reasons with the same outcome.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -24,6 +24,9 @@
     }
 )
 
+# The connection failed, not the endpoint: the same endpoint may be tried again.
+LINK_FAULTS = frozenset({Reason.LINK_LOST, Reason.WORKER_LINK})
+
 
 @dataclass(frozen=True, slots=True)
 class Work:
@@ -77,32 +80,55 @@
         Source of the spread of `Retry-After`.
     may_retry : callable
         Returns True if the retry budget allows another attempt now.
+    replayable : callable
+        Returns False once a part of the caller's body that is not kept was taken.
     """
 
-    def __init__(self, work, choose, deadline, rng, may_retry=lambda: True):
+    def __init__(
+        self,
+        work,
+        choose,
+        deadline,
+        rng,
+        may_retry=lambda: True,
+        replayable=lambda: True,
+    ):
         self.work = work
         self.deadline = deadline
         self.attempts = 0
         self.tried = set()
         self.finished = False
+        self.answer = None
+        self.caller_error = None
+        self._current = None
+        self._sent = False
         self._choose = choose
         self._rng = rng
         self._may_retry = may_retry
+        self._replayable = replayable
         self._may_have_run = False
 
     def start(self, now):
         """Return the first command."""
         return self._dispatch(Reason.NO_ENDPOINT, now)
 
+    def sent(self):
+        """Note that the current attempt is on its way to the agent."""
+        self._sent = True
+
     def not_run(self, reason, now):
         """Handle a proof that the current attempt was not run."""
+        self._sent = False
         return self._again(reason, now)
 
     def failed(self, reason, now):
         """Handle an attempt that ended after the endpoint may have seen it."""
+        self._sent = False
         self._may_have_run = True
         if not self.work.idempotent:
             return self._refuse(reason)
+        if reason in LINK_FAULTS:
+            self.tried.discard(self._current)
         return self._again(reason, now)
 
     def answered(self):
@@ -110,14 +136,20 @@
         self.finished = True
         return Deliver(whole=True)
 
+    def abandoned(self, reason):
+        """Handle the end of the request while an attempt may be on its way."""
+        self._may_have_run = self._may_have_run or self._sent
+        return self._refuse(reason)
+
     def expired(self):
         """Handle the end of the time budget."""
-        self._may_have_run = True
-        return self._refuse(Reason.DEADLINE)
+        return self.abandoned(Reason.DEADLINE)
 
     def _again(self, reason, now):
         if now >= self.deadline or self.attempts >= MAX_ATTEMPTS:
             return self._refuse(reason)
+        if not self._replayable():
+            return self._refuse(reason)
         if not self._may_retry():
             return self._refuse(Reason.RETRY_BUDGET)
         return self._dispatch(reason, now)
@@ -129,6 +161,7 @@
         self.attempts += 1
         endpoint = decision.chosen.endpoint
         self.tried.add(endpoint.endpoint_id)
+        self._current = endpoint.endpoint_id
         return Dispatch(endpoint, decision)
 
     def _refuse(self, reason):
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -10,31 +10,21 @@
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.world import EndpointState
+from dandelionarch.daemon.headers import end_to_end
+from dandelionarch.daemon.workers import Call, WorkerPool, refused
+from dandelionarch.errors import (
+    BrokenAnswerError,
+    LinkError,
+    WorkerLostError,
+    WorkerUnreachableError,
+)
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
 
 CHUNK_BYTES = 64 << 10
 WINDOW_BYTES = 256 << 10
-WORKER_CONNECT_TIMEOUT_S = 1.0
-IDLE_CONNECTION_S = 5.0
 QUEUE_PER_SLOT = 2
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "transfer-encoding",
-        "te",
-        "trailer",
-        "upgrade",
-        "proxy-authorization",
-        "proxy-connection",
-        "host",
-        "content-length",
-        "authorization",
-        "expect",
-    }
-)
 
 
 class Run:
@@ -44,19 +34,27 @@
         self.link = link
         self.head = head
         self.body = asyncio.Queue()
+        self.body_sent = head.last
+        self.unread = len(head.data)
         self.window = WINDOW_BYTES
         self.window_open = asyncio.Event()
         self.started = asyncio.Event()
-        self.admitted = False
+        self.call = Call()
         self.task = None
         if head.data or head.last:
             self.body.put_nowait((head.data, head.last))
 
     def send(self, msg):
         """Send a message back to the ingress; a lost link is ignored."""
-        with contextlib.suppress(Exception):
+        with contextlib.suppress(LinkError):
             self.link.send(msg)
 
+    def receive(self, data, last):
+        """Take a part of the body; return False if it exceeds the window."""
+        self.unread += len(data)
+        self.body.put_nowait((data, last))
+        return self.unread <= WINDOW_BYTES
+
     async def body_chunks(self):
         """Yield the request's body."""
         last = False
@@ -64,14 +62,25 @@
             data, last = await self.body.get()
             if data:
                 yield data
+                self.unread -= len(data)
                 self.send(msgs.Credit(self.head.attempt_id, len(data)))
-
-    async def take_window(self, size):
-        """Wait until `size` bytes may be sent."""
-        while self.window < min(size, WINDOW_BYTES):
+        self.body_sent = True
+
+    async def send_part(self, msg):
+        """Send a part of the answer once the ingress has room for it.
+
+        Raises
+        ------
+        LinkError
+            If the link is lost; nothing more may be sent for this attempt.
+        """
+        size = len(msg.data)
+        while self.window < size:
             self.window_open.clear()
             await self.window_open.wait()
         self.window -= size
+        await self.link.writable()
+        self.link.send(msg)
 
 
 class LocalEndpoint:
@@ -101,7 +110,7 @@
         self._vm_id = vm_id
         self._local = {}
         self._runs = {}
-        self._session = None
+        self._workers = WorkerPool()
         self.stopping = False
         network.subscribe(msgs.RequestHead, self._on_head)
         network.subscribe(msgs.RequestChunk, self._on_chunk)
@@ -111,16 +120,15 @@
 
     async def start(self):
         """Open the connection pool towards the endpoints."""
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
-        )
+        await self._workers.start()
 
     async def stop(self):
-        """Close the connection pool."""
-        await self._session.close()
+        """Cancel what still runs and close the connection pool."""
+        tasks = [run.task for run in self._runs.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._workers.stop()
 
     @property
     def in_flight(self):
@@ -148,6 +156,7 @@
             self._refuse(run, local, reason)
             return
         self._runs[link, head.attempt_id] = run
+        link.begin()
         if verdict == "run":
             run.started.set()
         run.task = asyncio.get_running_loop().create_task(self._run(run, local))
@@ -175,8 +184,9 @@
 
     def _on_chunk(self, link, msg):
         run = self._runs.get((link, msg.attempt_id))
-        if run is not None:
-            run.body.put_nowait((msg.data, msg.last))
+        if run is not None and not run.receive(msg.data, msg.last):
+            event(log, "window_exceeded", logging.WARNING, vm=link.vm_id)
+            run.task.cancel()
 
     def on_credit(self, link, msg):
         """Open the window of an attempt."""
@@ -208,6 +218,7 @@
         except asyncio.CancelledError:
             event(log, "run_cancelled", request=head.request_id)
         finally:
+            run.link.end()
             self._runs.pop((run.link, head.attempt_id), None)
             self._release(run, local)
 
@@ -219,7 +230,6 @@
             following.started.set()
 
     async def _call(self, run, local, deadline):
-        loop = asyncio.get_running_loop()
         endpoint = local.endpoint
         event(
             log,
@@ -230,53 +240,67 @@
             running=local.queue.running,
             queued=local.queue.queued,
         )
-        reason = None
-        try:
-            async with asyncio.timeout_at(deadline):
-                async with self._open(run, endpoint, deadline - loop.time()) as resp:
-                    if resp.headers.get("Dandelion-Not-Run") == "1":
-                        reason = Reason.WORKER_REFUSED
-                    else:
-                        await self._relay(run, local, resp)
-        except TimeoutError:
-            reason = Reason.DEADLINE
-        except aiohttp.ClientConnectorError:
-            reason = Reason.WORKER_UNREACHABLE
-        except aiohttp.ClientPayloadError:
-            reason = Reason.TRUNCATED
-        except (aiohttp.ClientError, OSError):
-            reason = Reason.WORKER_FAILED
+        reason = await self._exchange(run, local, deadline)
         if reason in (Reason.WORKER_REFUSED, Reason.WORKER_UNREACHABLE):
             self._refuse(run, local, reason)
         elif reason is not None:
             run.send(msgs.Failure(run.head.attempt_id, reason.value, local.load()))
 
-    def _open(self, run, endpoint, budget_s):
+    async def _exchange(self, run, local, deadline):
+        """Call the endpoint and relay its answer; return why that failed, or None."""
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self._relay(run, local, deadline)
+        except WorkerUnreachableError:
+            return Reason.WORKER_UNREACHABLE
+        except TimeoutError:
+            silent = run.call.reused and not run.call.answered
+            return Reason.WORKER_LINK if silent else Reason.DEADLINE
+        except WorkerLostError:
+            return Reason.WORKER_LINK if run.call.reused else Reason.WORKER_FAILED
+        except (aiohttp.ClientPayloadError, BrokenAnswerError) as exc:
+            event(
+                log,
+                "answer_broken",
+                logging.WARNING,
+                request=run.head.request_id,
+                detail=str(exc),
+            )
+            return Reason.TRUNCATED
+        except (aiohttp.ClientError, OSError):
+            return Reason.WORKER_FAILED
+        except LinkError:
+            return Reason.LINK_LOST
+        except Exception:
+            log.exception("run_failed", extra={"request": run.head.request_id})
+            return Reason.INTERNAL_ERROR
+
+    async def _relay(self, run, local, deadline):
         head = run.head
-        headers = [(h.name, h.value) for h in head.headers]
-        headers.append(("Dandelion-Request-Id", head.request_id))
-        headers.append(("Dandelion-Time-Budget", str(max(1, int(budget_s * 1000)))))
+        loop = asyncio.get_running_loop()
         data = head.data if head.last else run.body_chunks()
-        return self._session.request(
-            head.method,
-            f"http://{endpoint.host}:{endpoint.port}{head.target}",
-            headers=headers,
-            data=data or None,
-            allow_redirects=False,
-            timeout=aiohttp.ClientTimeout(sock_connect=WORKER_CONNECT_TIMEOUT_S),
-        )
+        budget_ms = max(1, int((deadline - loop.time()) * 1000))
+        resp = await self._workers.open(run.call, local.endpoint, head, data, budget_ms)
+        whole = False
+        try:
+            if refused(resp):
+                return Reason.WORKER_REFUSED
+            await self._relay_answer(run, local, resp)
+            whole = run.body_sent
+            return None
+        finally:
+            # A connection is reused only after a complete exchange.
+            if whole:
+                resp.release()
+            else:
+                resp.close()
 
-    async def _relay(self, run, local, resp):
-        headers = tuple(
-            msgs.Header(name, value)
-            for name, value in resp.headers.items()
-            if name.lower() not in HOP_HEADERS
-        )
+    async def _relay_answer(self, run, local, resp):
         attempt_id = run.head.attempt_id
         first = await resp.content.read(CHUNK_BYTES)
         last = resp.content.at_eof()
-        await run.take_window(len(first))
-        run.send(
+        headers = end_to_end(resp.headers.items())
+        await run.send_part(
             msgs.ResponseHead(
                 attempt_id, resp.status, headers, first, last, local.load()
             )
@@ -284,5 +308,4 @@
         while not last:
             data = await resp.content.read(CHUNK_BYTES)
             last = resp.content.at_eof()
-            await run.take_window(len(data))
-            run.send(msgs.ResponseChunk(attempt_id, data, last))
+            await run.send_part(msgs.ResponseChunk(attempt_id, data, last))
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -1,6 +1,7 @@
 """The daemon: builds its parts, starts and stops them."""
 
 import asyncio
+import contextlib
 import logging
 import time
 
@@ -13,12 +14,13 @@
 from dandelionarch.daemon.agent import Agent
 from dandelionarch.daemon.gossip import DirectoryExchange
 from dandelionarch.daemon.ingress import Ingress
-from dandelionarch.daemon.ingress_http import IngressHttp
+from dandelionarch.daemon.ingress_http import IngressHttp, IngressProtocol
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.logclient import LogClient
-from dandelionarch.errors import PlatformError
+from dandelionarch.errors import LinkError, PlatformError, StartError, StopError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
+from dandelionarch.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -106,7 +108,12 @@
         self.network = PeerNetwork(self.vm_id, cfg.shared_key.encode(), self._address)
         self.agent = Agent(self.network, self.directory, self.vm_id)
         self.ingress = Ingress(self.network, self.directory, self.agent)
-        self.http = IngressHttp(self.ingress, self.active, settings.limits)
+        self.metrics = Metrics(
+            settings.statsd.host, settings.statsd.port, settings.statsd.prefix
+        )
+        self.http = IngressHttp(
+            self.ingress, self.active, settings.limits, self.metrics
+        )
         self.admin = Admin(self)
         self.exchange = DirectoryExchange(
             self.network, self.directory, self.vm, cfg.seed_addresses
@@ -115,53 +122,90 @@
         self._tasks = []
 
     async def run(self, stop):
-        """Serve until the `stop` event is set, then shut down gracefully."""
-        await self._start()
+        """Serve until the `stop` event is set, then shut down gracefully.
+
+        Raises
+        ------
+        ExceptionGroup
+            Of `StartError` or `StopError`, one per part that failed.
+        """
+        await self.start()
         event(log, "daemon_started", vm=self.vm_id, incarnation=self.vm.incarnation)
         await stop.wait()
-        await self._drain()
-        await self._stop()
+        await self.drain()
+        await self.stop()
         event(log, "daemon_stopped", vm=self.vm_id)
 
-    async def _start(self):
+    async def start(self):
+        """Open all ports and start all tasks, or report every part that fails."""
         cfg = self.settings.daemon
-        await self.client.start()
-        await self.agent.start()
-        await self.network.start(cfg.host, cfg.peer_port)
-        for app, port in (
-            (self.admin.app, cfg.admin_port),
-            (self.http.app, cfg.ingress_port),
-        ):
-            server = await app.create_server(
-                cfg.host, port, return_asyncio_server=True, access_log=False
-            )
-            await server.startup()
-            await server.start_serving()
-            self._servers.append(server)
+        steps = {
+            "log client": self.client.start(),
+            "agent": self.agent.start(),
+            f"peer port {cfg.peer_port}": self.network.start(cfg.host, cfg.peer_port),
+            f"admin port {cfg.admin_port}": self._serve(self.admin.app, cfg.admin_port),
+            f"ingress port {cfg.ingress_port}": self._serve(
+                self.http.app, cfg.ingress_port, IngressProtocol
+            ),
+        }
+        errors = await _run_steps(steps, StartError)
+        if errors:
+            with contextlib.suppress(ExceptionGroup):
+                await self.stop()
+            raise ExceptionGroup("daemon could not start", errors)
         for coro in (self.config.run(), self.exchange.run()):
             self._tasks.append(asyncio.create_task(coro))
 
-    async def _drain(self):
-        """Refuse new work, tell the peers, and finish what is in flight."""
+    async def _serve(self, app, port, protocol=None):
+        server = await app.create_server(
+            self.settings.daemon.host,
+            port,
+            return_asyncio_server=True,
+            access_log=False,
+            protocol=protocol,
+        )
+        await server.startup()
+        await server.start_serving()
+        self._servers.append(server)
+
+    async def drain(self):
+        """Tell the peers, refuse new work, and finish what is in flight."""
         event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
-        self.http.stopping = True
-        self.agent.stopping = True
         for link in self.network.all_links():
-            link.send(msgs.Leaving(self.vm_id))
+            with contextlib.suppress(LinkError):
+                link.send(msgs.Leaving(self.vm_id))
+        self.http.refuse_new_work()
+        self.agent.stopping = True
         loop = asyncio.get_running_loop()
         limit = loop.time() + self.settings.limits.stop_timeout_s
         while (self.agent.in_flight or self.http.in_flight) and loop.time() < limit:
             await asyncio.sleep(STOP_POLL_S)
+        for server in self._servers:
+            server.close()
+            await self.http.close_idle(server, limit)
+        if self.agent.in_flight or self.http.in_flight:
+            event(
+                log,
+                "stop_timeout",
+                logging.ERROR,
+                in_flight=self.agent.in_flight + self.http.in_flight,
+            )
 
-    async def _stop(self):
+    async def stop(self):
+        """Close all ports and links and end all tasks."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in self._servers:
             server.close()
-        await self.network.stop()
-        await self.agent.stop()
-        await self.client.stop()
+        steps = {
+            "agent": self.agent.stop(),
+            "peer network": self.network.stop(),
+            "log client": self.client.stop(),
+        }
+        errors = await _run_steps(steps, StopError)
+        if errors:
+            raise ExceptionGroup("daemon did not stop properly", errors)
 
     def announced(self, endpoint):
         """Take note of an endpoint beside this daemon."""
@@ -196,3 +240,16 @@
     def _address(self, vm_id):
         vm = self.directory.vms.get(vm_id)
         return None if vm is None else (vm.host, vm.peer_port)
+
+
+async def _run_steps(steps, error):
+    """Await every step and return the failures, each as an `error`."""
+    errors = []
+    for what, coro in steps.items():
+        try:
+            await coro
+        except Exception as exc:
+            failure = error(f"{what}: {exc}")
+            failure.__cause__ = exc
+            errors.append(failure)
+    return errors
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -11,8 +11,9 @@
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.selection import Candidate, TwoChoices, select
 from dandelionarch.core.world import Health
-from dandelionarch.daemon.agent import CHUNK_BYTES, WINDOW_BYTES
-from dandelionarch.errors import LinkError
+from dandelionarch.daemon.agent import CHUNK_BYTES
+from dandelionarch.daemon.attempt import Answer, AttemptStream, CallerFault, LinkLost
+from dandelionarch.errors import CallerBodyError, LinkError
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
@@ -21,61 +22,6 @@
 DECISION_RING_SIZE = 10_000
 
 
-class LinkLost:
-    """Put into an attempt's mailbox when its link ended."""
-
-
-class AttemptStream:
-    """An attempt as the ingress sees it: its link and its mailbox."""
-
-    def __init__(self, attempt_id, endpoint_id, link):
-        self.attempt_id = attempt_id
-        self.endpoint_id = endpoint_id
-        self.link = link
-        self.mailbox = asyncio.Queue()
-        self.window = WINDOW_BYTES
-        self.window_open = asyncio.Event()
-
-    async def send_body(self, body):
-        """Send the request's body in chunks within the window."""
-        for start in range(0, len(body), CHUNK_BYTES):
-            data = body[start : start + CHUNK_BYTES]
-            while self.window < len(data):
-                self.window_open.clear()
-                await self.window_open.wait()
-            self.window -= len(data)
-            last = start + CHUNK_BYTES >= len(body)
-            self.link.send(msgs.RequestChunk(self.attempt_id, data, last))
-
-
-class Answer:
-    """An endpoint's answer whose start has arrived.
-
-    `chunks` yields the rest of the body; it raises `ConnectionError` if the answer
-    breaks off, so that nobody takes it as whole.
-    """
-
-    def __init__(self, head, stream, body, last):
-        self.status = head.status
-        self.headers = head.headers
-        self.body = body
-        self.whole = last
-        self._stream = stream
-
-    async def chunks(self):
-        """Yield the rest of the body."""
-        last = self.whole
-        while not last:
-            msg = await self._stream.mailbox.get()
-            if not isinstance(msg, msgs.ResponseChunk):
-                raise ConnectionError("answer broke off")
-            last = msg.last
-            with contextlib.suppress(LinkError):
-                credit = msgs.Credit(self._stream.attempt_id, len(msg.data))
-                self._stream.link.send(credit)
-            yield msg.data
-
-
 class Ingress:
     """Routes requests to agents and matches what comes back by attempt id."""
 
@@ -112,14 +58,23 @@
         Returns
         -------
         Answer or Refuse
+
+        Raises
+        ------
+        CallerBodyError
+            If the caller's body could not be read to its end.
         """
-        life = RequestLife(work, self._choose, deadline, self._rng)
+        life = RequestLife(
+            work, self._choose, deadline, self._rng, replayable=req.replayable
+        )
         loop = asyncio.get_running_loop()
         command = life.start(loop.time())
         while isinstance(command, Dispatch):
             command = await self._attempt(life, work, req, command)
         if isinstance(command, Deliver):
             return life.answer
+        if command.reason is Reason.CALLER_BODY:
+            raise CallerBodyError(command.outcome, life.caller_error)
         return command
 
     def _choose(self, service, tried):
@@ -139,38 +94,35 @@
         loop = asyncio.get_running_loop()
         endpoint = command.endpoint
         self._log_decision(work, command)
-        try:
-            link = await self._network.link(endpoint.vm_id)
-        except LinkError:
-            return life.not_run(Reason.LINK_DOWN, loop.time())
-        stream = AttemptStream(next(self._attempt_ids), endpoint.endpoint_id, link)
-        self._streams[stream.attempt_id] = stream
-        self._count(endpoint.endpoint_id, 1)
-        ended = False
+        stream = None
+        command, ended = None, False
         try:
             async with asyncio.timeout_at(life.deadline):
+                link = await self._network.link(endpoint.vm_id)
+                stream = self._open(endpoint, link)
                 self._send_request(stream, work, req, life.deadline - loop.time())
-                sender = None
-                if len(req.body) > CHUNK_BYTES:
-                    sender = self._network.spawn(self._send_body(stream, req.body))
+                life.sent()
                 command, ended = await self._await_answer(life, stream)
-                if sender is not None:
-                    sender.cancel()
             return command
         except TimeoutError:
             return life.expired()
         except LinkError:
-            return life.failed(Reason.LINK_LOST, loop.time())
+            # Raised by connecting or by sending the head: no byte has left.
+            return life.not_run(Reason.LINK_DOWN, loop.time())
         finally:
-            if not isinstance(command, Deliver) or life.answer.whole:
+            streaming = isinstance(command, Deliver) and not life.answer.whole
+            if stream is not None and not streaming:
                 self.close(stream, cancel=not ended)
 
-    async def _send_body(self, stream, body):
-        with contextlib.suppress(LinkError):
-            await stream.send_body(body)
+    def _open(self, endpoint, link):
+        stream = AttemptStream(next(self._attempt_ids), endpoint.endpoint_id, link)
+        self._streams[stream.attempt_id] = stream
+        self._count(endpoint.endpoint_id, 1)
+        link.begin()
+        return stream
 
     def _send_request(self, stream, work, req, budget_s):
-        inline = len(req.body) <= CHUNK_BYTES
+        inline = req.rest is None and len(req.body) <= CHUNK_BYTES
         stream.link.send(
             msgs.RequestHead(
                 stream.attempt_id,
@@ -189,28 +141,43 @@
                 inline,
             )
         )
+        if not inline:
+            stream.sender = self._network.spawn(stream.send_body(req))
 
     async def _await_answer(self, life, stream):
         """Return (command, True if the agent has ended the attempt)."""
         loop = asyncio.get_running_loop()
         msg = await stream.mailbox.get()
         if isinstance(msg, msgs.Refusal):
-            return life.not_run(Reason(msg.reason), loop.time()), True
+            return life.not_run(_reason(msg), loop.time()), True
         if isinstance(msg, msgs.Failure):
-            return life.failed(Reason(msg.reason), loop.time()), True
+            return life.failed(_reason(msg), loop.time()), True
         if isinstance(msg, LinkLost):
             return life.failed(Reason.LINK_LOST, loop.time()), True
-        head, body, last = msg, [msg.data], msg.last
-        held = len(msg.data)
-        stream.link.send(msgs.Credit(stream.attempt_id, held))
+        if isinstance(msg, CallerFault):
+            life.caller_error = msg.error
+            return life.abandoned(Reason.CALLER_BODY), False
+        if not isinstance(msg, msgs.ResponseHead):
+            return life.failed(Reason.TRUNCATED, loop.time()), False
+        return await self._hold_answer(life, stream, msg)
+
+    async def _hold_answer(self, life, stream, head):
+        loop = asyncio.get_running_loop()
+        body, last, held = [head.data], head.last, len(head.data)
+        if not last:
+            stream.credit(held)
         while not last and held < HOLD_BYTES:
             msg = await stream.mailbox.get()
+            if isinstance(msg, CallerFault):
+                continue
             if not isinstance(msg, msgs.ResponseChunk):
-                return life.failed(Reason.TRUNCATED, loop.time()), True
+                ended = isinstance(msg, msgs.Failure | LinkLost)
+                return life.failed(Reason.TRUNCATED, loop.time()), ended
             body.append(msg.data)
             held += len(msg.data)
             last = msg.last
-            stream.link.send(msgs.Credit(stream.attempt_id, len(msg.data)))
+            if not last:
+                stream.credit(len(msg.data))
         life.answer = Answer(head, stream, b"".join(body), last)
         return life.answered(), last
 
@@ -219,13 +186,16 @@
         if self._streams.pop(stream.attempt_id, None) is None:
             return
         self._count(stream.endpoint_id, -1)
+        stream.link.end()
+        if stream.sender is not None:
+            stream.sender.cancel()
         if cancel:
             with contextlib.suppress(LinkError):
                 stream.link.send(msgs.Cancel(stream.attempt_id))
 
     def finish(self, answer):
         """End the attempt behind an answer that was streamed."""
-        self.close(answer._stream, cancel=True)
+        self.close(answer.stream, cancel=True)
 
     def _count(self, endpoint_id, by):
         left = self._in_flight.get(endpoint_id, 0) + by
@@ -277,3 +247,11 @@
         self.decisions.setdefault(request_id, []).append((name, fields))
         while len(self.decisions) > DECISION_RING_SIZE:
             self.decisions.pop(next(iter(self.decisions)))
+
+
+def _reason(msg):
+    """Return the reason in a message, also if a newer daemon has sent it."""
+    try:
+        return Reason(msg.reason)
+    except ValueError:
+        return Reason.OTHER
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -4,18 +4,36 @@
 import hashlib
 import logging
 import math
+import random
 import uuid
-from dataclasses import dataclass
 
 from sanic import Sanic
-from sanic.exceptions import SanicException
+from sanic.compat import Header
+from sanic.exceptions import PayloadTooLarge, SanicException
+from sanic.http import Stage
 from sanic.response import HTTPResponse, json
+from sanic.server import HttpProtocol
 
-from dandelionarch.core.ingress import Refuse, Work
-from dandelionarch.core.messages.request import Header
+from dandelionarch.core.ingress import (
+    RETRY_AFTER_MIN_S,
+    RETRY_AFTER_SPREAD_S,
+    Refuse,
+    Work,
+)
 from dandelionarch.core.outcome import Outcome, Reason
-from dandelionarch.daemon.agent import HOP_HEADERS
+from dandelionarch.daemon.attempt import (
+    REPLAY_LIMIT_BYTES,
+    BodyRest,
+    CallerRequest,
+)
+from dandelionarch.daemon.headers import end_to_end, from_wire, invalid_field
+from dandelionarch.errors import (
+    BodyTooLargeError,
+    BrokenAnswerError,
+    CallerBodyError,
+)
 from dandelionarch.logs import event
+from dandelionarch.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
@@ -24,16 +42,32 @@
     Outcome.UNKNOWN: 502,
 }
 METHODS = ["GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS"]
+HEADER_TIMEOUT_S = 10
+STOP_POLL_S = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A caller's request, its body whole."""
+class IngressProtocol(HttpProtocol):
+    """Connection of a caller, limited in number and in time for its headers."""
 
-    method: str
-    target: str
-    headers: tuple
-    body: bytes
+    __slots__ = ()
+
+    def connection_made(self, transport):
+        if len(self.connections) >= self.app.ctx.max_connections:
+            event(log, "caller_refused", logging.WARNING, reason="connections")
+            transport.abort()
+            return
+        super().connection_made(transport)
+
+    def connection_lost(self, exc):
+        if self.transport is not None:
+            super().connection_lost(exc)
+
+    def data_received(self, data):
+        since = self._time
+        super().data_received(data)
+        if self.http is not None and self.http.stage is Stage.REQUEST:
+            # Headers that arrive byte by byte must not restart the timeout.
+            self._time = since
 
 
 def problem(status, title, request_id, outcome=Outcome.NOT_RUN, retry_after_s=None):
@@ -66,65 +100,112 @@
         Has `keys`, `routes` and `lists` of the accepted configuration, or None.
     limits : LimitsSection
         Size limits.
+    metrics : Metrics
     """
 
-    def __init__(self, ingress, state, limits):
+    def __init__(self, ingress, state, limits, metrics=None):
         self._ingress = ingress
         self._state = state
         self._limits = limits
+        self._metrics = metrics or Metrics()
+        self._rng = random.Random()
         self.in_flight = 0
         self.stopping = False
         self.app = Sanic(f"ingress-{uuid.uuid4().hex[:8]}", configure_logging=False)
+        self.app.ctx.max_connections = limits.max_connections
         self.app.config.REQUEST_MAX_SIZE = limits.max_request_body_bytes
         # The protocol class can be specialised for one application only.
         self.app.config.TOUCHUP = False
-        self.app.config.REQUEST_TIMEOUT = 10
+        self.app.config.REQUEST_TIMEOUT = HEADER_TIMEOUT_S
         self.app.config.RESPONSE_TIMEOUT = 3600
-        self.app.add_route(self._handle, "/", methods=METHODS, name="root")
+        options = {"methods": METHODS}
+        self.app.add_route(self._handle, "/", name="root", **options)
         self.app.add_route(
-            self._handle, "/<path:path>", methods=METHODS, name="any", unquote=False
+            self._handle, "/<path:path>", name="any", unquote=False, **options
         )
-        self.app.exception(SanicException)(self._on_error)
+        self.app.exception(Exception)(self._on_error)
+
+    def refuse_new_work(self):
+        """Refuse all requests from now on and end connections after their reply."""
+        self.stopping = True
+        self.app.config.KEEP_ALIVE = False
+
+    async def close_idle(self, server, deadline):
+        """Close callers' connections once their last response has been sent."""
+        loop = asyncio.get_running_loop()
+        while server.connections and loop.time() < deadline:
+            for conn in list(server.connections):
+                conn.close_if_idle()
+            await asyncio.sleep(STOP_POLL_S)
 
     async def _on_error(self, request, exc):
-        status = getattr(exc, "status_code", 500)
         request_id = uuid.uuid4().hex
+        if not isinstance(exc, SanicException):
+            log.exception("internal_error", exc_info=exc, extra={"request": request_id})
+            return problem(502, "internal error", request_id, Outcome.UNKNOWN)
+        status = getattr(exc, "status_code", 500)
+        self._bad_request(request_id, status, type(exc).__name__)
+        return problem(status, str(exc), request_id)
+
+    def _bad_request(self, request_id, status, error):
         event(
             log,
             "bad_request",
             logging.WARNING,
             request=request_id,
             status=status,
-            error=type(exc).__name__,
+            error=error,
         )
-        return problem(status, str(exc), request_id)
+        self._metrics.incr(f"refused.{status}")
 
     async def _handle(self, request, path=""):
+        if self.in_flight >= self._limits.max_in_flight:
+            return self._turn_away(Reason.IN_FLIGHT_LIMIT)
+        if self.stopping:
+            return self._turn_away(Reason.STOPPING)
+        if self._state.lists is None:
+            return self._turn_away(Reason.NOT_READY)
         self.in_flight += 1
+        self._metrics.gauge("in_flight", self.in_flight)
         try:
             return await self._serve(request)
         finally:
             self.in_flight -= 1
 
+    # Keeps sanic from reading the body; a bound method takes no attributes.
+    _handle.is_stream = True
+
+    def _turn_away(self, reason):
+        request_id = uuid.uuid4().hex
+        event(log, "refused", logging.WARNING, request=request_id, reason=reason.value)
+        self._metrics.incr(f"refused.{reason.value}")
+        retry_after_s = RETRY_AFTER_MIN_S + self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
+        return problem(503, reason.value, request_id, retry_after_s=retry_after_s)
+
     async def _serve(self, request):
         request_id = uuid.uuid4().hex
         started = asyncio.get_running_loop().time()
-        if self.stopping:
-            return problem(503, Reason.STOPPING.value, request_id, retry_after_s=1)
-        if self._state.lists is None:
-            return problem(503, Reason.NOT_READY.value, request_id, retry_after_s=2)
         customer = self._authenticate(request)
         if customer is None:
-            event(log, "unauthorized", logging.WARNING, request=request_id)
+            self._bad_request(request_id, 401, "UnknownCustomer")
             return problem(401, "unknown customer", request_id)
         route = self._state.routes.find(request.method, request.path)
         if route is None:
+            self._bad_request(request_id, 404, "UnknownRoute")
             return problem(404, "unknown route", request_id)
+        fault = invalid_field(request.headers.items())
         budget_s = self._budget(request, route)
         if budget_s is None:
-            return problem(400, "Dandelion-Time-Budget is not a number", request_id)
+            fault = "Dandelion-Time-Budget"
+        if fault is not None:
+            self._bad_request(request_id, 400, "InvalidHeader")
+            return problem(400, f"invalid header {fault!r}", request_id)
+        work = self._work(request_id, customer, route)
+        return await self._run(request, work, started, budget_s)
+
+    def _work(self, request_id, customer, route):
         plan = self._state.lists.customers[customer].plan
-        work = Work(
+        return Work(
             request_id,
             customer,
             route.service,
@@ -133,9 +214,22 @@
             route.idempotent,
             self._state.lists.plans[plan].priority,
         )
-        result = await self._ingress.run(
-            work, _caller_request(request), started + budget_s
-        )
+
+    async def _run(self, request, work, started, budget_s):
+        deadline = started + budget_s
+        try:
+            async with asyncio.timeout_at(deadline):
+                req = await self._caller_request(request)
+        except TimeoutError:
+            self._bad_request(work.request_id, 408, "CallerTooSlow")
+            return problem(408, "body not received in time", work.request_id)
+        try:
+            result = await self._ingress.run(work, req, deadline)
+        except CallerBodyError as exc:
+            too_large = isinstance(exc.cause, BodyTooLargeError | PayloadTooLarge)
+            status = 413 if too_large else 400
+            self._bad_request(work.request_id, status, type(exc.cause).__name__)
+            return problem(status, str(exc), work.request_id, exc.outcome)
         if isinstance(result, Refuse):
             return self._refusal(work, result, started)
         return await self._deliver(request, work, result, started)
@@ -144,7 +238,7 @@
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer" or not key:
             return None
-        digest = hashlib.sha256(key.strip().encode()).hexdigest()
+        digest = hashlib.sha256(key.strip().encode(errors="replace")).hexdigest()
         return self._state.keys.find(digest)
 
     def _budget(self, request, route):
@@ -152,13 +246,39 @@
         given = request.headers.get("dandelion-time-budget")
         if given is None:
             return route.budget_ms / 1000
-        if not given.isdecimal() or int(given) == 0:
+        if not (given.isascii() and given.isdecimal() and len(given) <= 10):
             return None
-        return min(int(given), route.budget_ms) / 1000
+        return min(int(given), route.budget_ms) / 1000 or None
+
+    async def _caller_request(self, request):
+        """Return the request with the start of its body.
+
+        Raises
+        ------
+        PayloadTooLarge
+            If the body exceeds the limit as far as that is known now.
+        """
+        limit = self._limits.max_request_body_bytes
+        stream = request.stream
+        if stream.request_bytes_left > limit:
+            raise PayloadTooLarge(f"body exceeds {limit} bytes")
+        parts, size = [], 0
+        while stream.request_body and size < REPLAY_LIMIT_BYTES:
+            data = await stream.read()
+            parts.append(data or b"")
+            size += len(parts[-1])
+            if size > limit:
+                raise PayloadTooLarge(f"body exceeds {limit} bytes")
+        rest = BodyRest(stream.read, size, limit) if stream.request_body else None
+        target = request.path
+        if request.query_string:
+            target = f"{target}?{request.query_string}"
+        headers = end_to_end(request.headers.items(), drop={"content-length"})
+        return CallerRequest(request.method, target, headers, b"".join(parts), rest)
 
     def _refusal(self, work, refuse, started):
         status = STATUS[refuse.outcome]
-        if refuse.reason is Reason.DEADLINE:
+        if refuse.reason is Reason.DEADLINE and refuse.outcome is Outcome.UNKNOWN:
             status = 504
         self._log_outcome(work, refuse.outcome, status, started, refuse.reason.value)
         return problem(
@@ -170,37 +290,52 @@
         )
 
     async def _deliver(self, request, work, answer, started):
-        headers = {h.name: h.value for h in answer.headers}
-        content_type = headers.pop("Content-Type", None)
-        headers["Dandelion-Outcome"] = Outcome.ANSWER.value
-        headers["Dandelion-Request-Id"] = work.request_id
+        fields = [(h.name, from_wire(h.value)) for h in answer.headers]
+        fields.append(("Dandelion-Outcome", Outcome.ANSWER.value))
+        fields.append(("Dandelion-Request-Id", work.request_id))
+        headers = Header(fields)
         if answer.whole:
+            if request.method != "HEAD":
+                headers.pop("content-length", None)
             self._log_outcome(work, Outcome.ANSWER, answer.status, started)
             return HTTPResponse(
                 answer.body,
                 status=answer.status,
                 headers=headers,
-                content_type=content_type,
+                content_type="application/octet-stream",
             )
         try:
-            return await self._stream(request, work, answer, headers, content_type)
+            await self._stream(request, work, answer, headers, started)
         finally:
             self._ingress.finish(answer)
 
-    async def _stream(self, request, work, answer, headers, content_type):
+    async def _stream(self, request, work, answer, headers, started):
         resp = await request.respond(
-            status=answer.status, headers=headers, content_type=content_type
+            status=answer.status,
+            headers=headers,
+            content_type="application/octet-stream",
         )
+        size = len(answer.body)
         try:
             await resp.send(answer.body)
             async for data in answer.chunks():
+                size += len(data)
+                if size > self._limits.max_response_body_bytes:
+                    raise BrokenAnswerError("answer exceeds the size limit")
                 await resp.send(data)
-        except ConnectionError:
-            event(log, "answer_aborted", logging.WARNING, request=work.request_id)
+        except BrokenAnswerError as exc:
+            event(
+                log,
+                "answer_aborted",
+                logging.WARNING,
+                request=work.request_id,
+                detail=str(exc),
+            )
+            self._metrics.incr("answer_aborted")
             request.transport.abort()
-            return None
+            return
+        self._log_outcome(work, Outcome.ANSWER, answer.status, started)
         await resp.eof()
-        return None
 
     def _log_outcome(self, work, outcome, status, started, reason="-"):
         elapsed = asyncio.get_running_loop().time() - started
@@ -213,16 +348,6 @@
             "ms": round(elapsed * 1000, 2),
         }
         event(log, "outcome", **fields)
+        self._metrics.incr(f"outcome.{outcome.value}")
+        self._metrics.timing("latency", elapsed * 1000)
         self._ingress.remember(work.request_id, "outcome", fields)
-
-
-def _caller_request(request):
-    headers = tuple(
-        Header(name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in HOP_HEADERS and not name.lower().startswith("dandelion-")
-    )
-    target = request.path
-    if request.query_string:
-        target = f"{target}?{request.query_string}"
-    return CallerRequest(request.method, target, headers, request.body or b"")
--- a/dandelionarch/daemon/main.py
+++ b/dandelionarch/daemon/main.py
@@ -35,7 +35,12 @@
         print(f"dandelion-daemon: {exc}", file=sys.stderr)
         return exc.exit_code
     setup_logs(settings.logs.level, settings.logs.style)
-    uvloop.run(serve(settings))
+    try:
+        uvloop.run(serve(settings))
+    except ExceptionGroup as group:
+        for exc in group.exceptions:
+            print(f"dandelion-daemon: {exc}", file=sys.stderr)
+        return max(getattr(exc, "exit_code", 1) for exc in group.exceptions)
     return 0
 
 
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -31,6 +31,15 @@
     shared_key: str = pydantic.Field(min_length=16, max_length=256)
     log_url: str = pydantic.Field(pattern=r"^https?://")
 
+    @pydantic.field_validator("seeds")
+    @classmethod
+    def _check_seeds(cls, seeds):
+        for seed in filter(None, (part.strip() for part in seeds.split(","))):
+            host, _, port = seed.rpartition(":")
+            if not host or not port.isdecimal() or not 1 <= int(port) <= 65_535:
+                raise ValueError(f"{seed!r} is not HOST:PORT with port 1 to 65535")
+        return seeds
+
     @property
     def seed_addresses(self):
         """Return the peer addresses (host, port) of the seeds."""
@@ -43,6 +52,7 @@
 
     max_request_body_bytes: int = pydantic.Field(default=8 << 20, ge=1024, le=1 << 30)
     max_response_body_bytes: int = pydantic.Field(default=64 << 20, ge=1024, le=1 << 32)
+    max_connections: int = pydantic.Field(default=4000, ge=1, le=100_000)
     max_in_flight: int = pydantic.Field(default=2000, ge=1, le=100_000)
     stop_timeout_s: float = pydantic.Field(default=30.0, ge=0.1, le=3600)
 
--- /dev/null
+++ b/dandelionarch/daemon/tcplink.py
@@ -0,0 +1,296 @@
+"""A link over TCP: handshake, frames, asks and liveness of one connection."""
+
+import asyncio
+import itertools
+import logging
+import os
+from abc import ABC, abstractmethod
+
+from dandelionarch.core.messages.request import Ping, Pong
+from dandelionarch.errors import (
+    AskTimeoutError,
+    FrameTooLargeError,
+    FrameTruncatedError,
+    HandshakeTimeoutError,
+    LinkDownError,
+    MessageDecodeError,
+    WireError,
+)
+from dandelionarch.ids import VmId
+from dandelionarch.logs import event
+from dandelionarch.wire.framing import (
+    HELLO,
+    LENGTH,
+    MAX_FRAME_BYTES,
+    NONCE_SIZE,
+    Frame,
+    FrameKind,
+    FrameReader,
+    FrameWriter,
+    pack_hello,
+    session_key,
+    unpack_hello,
+)
+
+log = logging.getLogger(__name__)
+
+HANDSHAKE_TIMEOUT_S = 2.0
+IDENTIFY_CHANNEL = 255
+MAX_ID_BYTES = 64
+# A stranger can make a half-open connection hold this much, no more.
+MAX_IDENTIFY_FRAME_BYTES = 256
+WRITE_PAUSE_BYTES = 1 << 20
+# Bodies wait at WRITE_PAUSE_BYTES; only a peer that does not read gets this far.
+WRITE_LIMIT_BYTES = 8 << 20
+PING_IDLE_S = 0.5
+SILENT_S = 1.5
+
+
+class Link(ABC):
+    """A way to send messages to the daemon of one VM and to get replies.
+
+    `outstanding` counts the requests that wait for the peer.
+    """
+
+    vm_id = VmId("")
+    closed = False
+    outstanding = 0
+
+    @abstractmethod
+    def send(self, msg):
+        """Send a one-way message, or raise `LinkDownError`."""
+
+    @abstractmethod
+    async def ask(self, msg, timeout_s):
+        """Send a message and return the reply."""
+
+    def begin(self):
+        """Count a request that waits for the peer."""
+        self.outstanding += 1
+
+    def end(self):
+        """Count a request as ended."""
+        self.outstanding -= 1
+
+    async def writable(self):
+        """Wait until the peer has taken enough of what was sent."""
+
+    def close(self):
+        """End the link."""
+
+
+class TcpLink(Link, asyncio.Protocol):
+    """A connection to another daemon.
+
+    `dialled` is True on the side that opened the connection; `ready` is a future
+    that ends with the handshake.
+    """
+
+    def __init__(self, network, dialled):
+        self.vm_id = VmId("")
+        self.dialled = dialled
+        self.ready = asyncio.get_running_loop().create_future()
+        self.last_received = 0.0
+        self._network = network
+        self._transport = None
+        self._buffer = bytearray()
+        self._nonce = os.urandom(NONCE_SIZE)
+        self._pack = None
+        self._unpack = None
+        self._asks = {}
+        self._correlations = itertools.count(1)
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._expiry = None
+        self._pings = 0
+        self._pinged_at = 0.0
+
+    def connection_made(self, transport):
+        self._transport = transport
+        transport.set_write_buffer_limits(high=WRITE_PAUSE_BYTES)
+        if not self._network.admit(self):
+            transport.abort()
+            return
+        self.last_received = self._network.now()
+        self._expiry = asyncio.get_running_loop().call_later(
+            HANDSHAKE_TIMEOUT_S, self._handshake_expired
+        )
+        transport.write(pack_hello(self._nonce))
+
+    def data_received(self, data):
+        self.last_received = self._network.now()
+        self._buffer += data
+        try:
+            while not self.closed and self._take():
+                pass
+        except WireError as exc:
+            self._fail(exc)
+
+    def connection_lost(self, exc):
+        if self._buffer and not self.closed:
+            self._fail(FrameTruncatedError("connection ended inside a frame"))
+        else:
+            self.close()
+
+    def pause_writing(self):
+        self._writable.clear()
+
+    def resume_writing(self):
+        self._writable.set()
+
+    def send(self, msg):
+        channel, payload = self._network.codec.encode(msg)
+        self._write(Frame(channel, FrameKind.ONE_WAY, 0, payload))
+
+    async def ask(self, msg, timeout_s):
+        correlation = next(self._correlations)
+        fut = asyncio.get_running_loop().create_future()
+        self._asks[correlation] = fut
+        self.begin()
+        try:
+            channel, payload = self._network.codec.encode(msg)
+            self._write(Frame(channel, FrameKind.ASK, correlation, payload))
+            async with asyncio.timeout(timeout_s):
+                return await fut
+        except TimeoutError as exc:
+            raise AskTimeoutError(f"{self.vm_id}: no reply in {timeout_s} s") from exc
+        finally:
+            self.end()
+            self._asks.pop(correlation, None)
+
+    def begin(self):
+        if self.outstanding == 0:
+            self._pinged_at = 0.0
+            self.last_received = self._network.now()
+        self.outstanding += 1
+
+    async def writable(self):
+        await self._writable.wait()
+
+    def check(self, now):
+        """Ping an idle peer that owes replies; close the link if it is silent."""
+        idle_s = now - self.last_received
+        if not self.outstanding or self.closed or idle_s < PING_IDLE_S:
+            return
+        if idle_s >= SILENT_S:
+            event(
+                log,
+                "link_silent",
+                logging.WARNING,
+                vm=self.vm_id,
+                outstanding=self.outstanding,
+                idle_s=idle_s,
+            )
+            self._transport.abort()
+            self.close()
+        elif now - self._pinged_at >= PING_IDLE_S:
+            self._pinged_at = now
+            self._pings += 1
+            self.send(Ping(self._pings))
+
+    def close(self):
+        if self.closed:
+            return
+        self.closed = True
+        self._writable.set()
+        if self._expiry is not None:
+            self._expiry.cancel()
+        if self._transport is not None:
+            self._transport.close()
+        lost = LinkDownError(f"{self.vm_id or 'peer'}: link lost")
+        if not self.ready.done():
+            self.ready.set_exception(lost)
+            self.ready.exception()
+        for fut in self._asks.values():
+            if not fut.done():
+                fut.set_exception(lost)
+        self._network.link_closed(self)
+
+    def _handshake_expired(self):
+        if not self.ready.done():
+            self._fail(HandshakeTimeoutError(f"not done in {HANDSHAKE_TIMEOUT_S} s"))
+
+    def _fail(self, exc):
+        name = "link_failed" if self.ready.done() else "link_refused"
+        event(
+            log,
+            name,
+            logging.WARNING,
+            vm=self.vm_id or "-",
+            error=type(exc).__name__,
+            detail=str(exc),
+        )
+        if not self.ready.done():
+            self.ready.set_exception(exc)
+            self.ready.exception()
+        self.close()
+
+    def _take(self):
+        """Consume one hello or frame; return False if none is complete."""
+        if self._unpack is None:
+            if len(self._buffer) < HELLO.size:
+                return False
+            self._open_session(bytes(self._buffer[: HELLO.size]))
+            del self._buffer[: HELLO.size]
+            return True
+        if len(self._buffer) < LENGTH.size:
+            return False
+        size = LENGTH.unpack_from(self._buffer)[0]
+        limit = MAX_FRAME_BYTES if self.ready.done() else MAX_IDENTIFY_FRAME_BYTES
+        if size > limit:
+            raise FrameTooLargeError(f"frame of {size} bytes, limit {limit}")
+        end = LENGTH.size + size
+        if len(self._buffer) < end:
+            return False
+        data = bytes(self._buffer[LENGTH.size : end])
+        del self._buffer[:end]
+        self._handle(self._unpack.unpack(data))
+        return True
+
+    def _open_session(self, hello):
+        peer_nonce = unpack_hello(hello)
+        key = self._network.shared_key
+        self._pack = FrameWriter(session_key(key, self._nonce, peer_nonce))
+        self._unpack = FrameReader(session_key(key, peer_nonce, self._nonce))
+        identity = self._network.vm_id.encode("ascii")
+        self._write(Frame(IDENTIFY_CHANNEL, FrameKind.ONE_WAY, 0, identity))
+
+    def _identify(self, frame):
+        if frame.channel != IDENTIFY_CHANNEL or len(frame.payload) > MAX_ID_BYTES:
+            raise MessageDecodeError("first frame does not identify the peer")
+        self.vm_id = VmId(frame.payload.decode("ascii", "replace"))
+        self._expiry.cancel()
+        self.ready.set_result(self)
+        self._network.link_opened(self)
+
+    def _handle(self, frame):
+        if not self.ready.done():
+            self._identify(frame)
+            return
+        msg = self._network.codec.decode(frame.channel, frame.payload)
+        if frame.kind is FrameKind.REPLY:
+            fut = self._asks.get(frame.correlation)
+            if fut is not None and not fut.done():
+                fut.set_result(msg)
+        elif frame.kind is FrameKind.ASK:
+            self._network.spawn(self._reply(frame.correlation, msg))
+        elif isinstance(msg, Ping):
+            self.send(Pong(msg.nonce))
+        elif not isinstance(msg, Pong):
+            self._network.deliver(self, msg)
+
+    async def _reply(self, correlation, msg):
+        answer = await self._network.answer(self, msg)
+        if answer is not None and not self.closed:
+            channel, payload = self._network.codec.encode(answer)
+            self._write(Frame(channel, FrameKind.REPLY, correlation, payload))
+
+    def _write(self, frame):
+        if self.closed or self._transport.is_closing():
+            raise LinkDownError(f"{self.vm_id}: link is closed")
+        if self._transport.get_write_buffer_size() > WRITE_LIMIT_BYTES:
+            # Leaving out one message would corrupt the bodies behind it.
+            self._transport.abort()
+            self.close()
+            raise LinkDownError(f"{self.vm_id}: peer does not read")
+        self._transport.write(self._pack.pack(frame))
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -52,6 +52,10 @@
     """The peer speaks another version of the protocol."""
 
 
+class HandshakeTimeoutError(WireError):
+    """The peer did not finish the handshake in time."""
+
+
 class MessageDecodeError(WireError):
     """A frame's payload is not a valid message."""
 
@@ -110,3 +114,42 @@
 
 class NotReadyError(DandelionError):
     """The daemon has no accepted configuration yet."""
+
+
+class WorkerUnreachableError(DandelionError):
+    """No connection to an endpoint could be opened; no byte was sent to it."""
+
+
+class WorkerLostError(DandelionError):
+    """A connection to an endpoint ended before its answer began."""
+
+
+class BrokenAnswerError(DandelionError):
+    """An endpoint's answer is incomplete, can't be framed or is not for us."""
+
+
+class CallerBodyError(DandelionError):
+    """A caller's body broke off, is too large or malformed.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        What is known of the request.
+    cause : Exception
+        What was wrong with the body.
+    """
+
+    def __init__(self, outcome, cause):
+        self.outcome = outcome
+        self.cause = cause
+        super().__init__(str(cause))
+
+
+class StartError(DandelionError):
+    """A part of a program could not start."""
+
+    exit_code = 3
+
+
+class StopError(DandelionError):
+    """A part of a program could not stop properly."""
--- a/dandelionarch/standin/main.py
+++ b/dandelionarch/standin/main.py
@@ -35,7 +35,9 @@
     loop = asyncio.get_running_loop()
     for sig in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(sig, stop.set)
-    runner = web.AppRunner(standin.app, access_log=None, shutdown_timeout=30)
+    runner = web.AppRunner(
+        standin.app, access_log=None, shutdown_timeout=30, handler_cancellation=True
+    )
     await runner.setup()
     await web.TCPSite(runner, host, port).start()
     await standin.started()
