--- a/dandelionarch/daemon/order_home.py
+++ b/dandelionarch/daemon/order_home.py
@@ -222,8 +222,8 @@
     def __init__(self, client, network, directory, vm, window_s):
         self.issued = IssuedOrders(window_s)
         self._client = client
-        self._directory = directory
-        self._vm = vm
+        self.directory = directory
+        self.vm = vm
         self._window_s = window_s
         self._partitions = {}
         network.subscribe(msgs.ClaimQuery, self._on_query)
@@ -241,7 +241,7 @@
 
     def homes_of(self, partition):
         """Return the VMs to ask about a partition, the preferred one first."""
-        vm_ids = [vm.vm_id for vm in self._directory.living_vms()]
+        vm_ids = [vm.vm_id for vm in self.directory.living_vms()]
         return rank(f"orders-{partition}", vm_ids)[:HOMES_PER_PARTITION]
 
     def issue(self, count):
@@ -250,7 +250,7 @@
 
     async def _review(self):
         for partition in range(PARTITIONS):
-            if self._vm.vm_id in self.homes_of(partition):
+            if self.vm.vm_id in self.homes_of(partition):
                 self._home(partition)
             elif (home := self._partitions.get(partition)) and not len(home.batch):
                 del self._partitions[partition]
