--- a/tests/test_order_processes.py
+++ b/tests/test_order_processes.py
@@ -1,6 +1,7 @@
 """Orders at most once through separate processes."""
 
 import asyncio
+import contextlib
 import signal
 
 import aiohttp
@@ -102,3 +103,22 @@
             lost = await send(fleet, session, "vm-b", spare)
             assert lost[1] == "unknown"
             assert await runs_of(fleet, session, spare) == 0
+
+    def test_caller_that_leaves(self, fleet):
+        """Guards against an order that is lost with its caller's connection."""
+        asyncio.run(self._caller_leaves(fleet))
+
+    async def _caller_leaves(self, fleet):
+        async with aiohttp.ClientSession(headers=AUTH) as session:
+            await start(fleet, session)
+            timeout = aiohttp.ClientTimeout(total=0.02)
+            url = f"http://127.0.0.1:{fleet.daemons['vm-a'].ingress}/orders"
+            headers = {"Idempotency-Key": "left"}
+            with contextlib.suppress(TimeoutError):
+                await session.post(url, data=b"lamp", headers=headers, timeout=timeout)
+
+            async def answered():
+                return (await send(fleet, session, "vm-b", "left"))[0] == 200
+
+            await fleet.until(answered, "the repeat finds the answer")
+            assert await runs_of(fleet, session, "left") == 1
