Answer a body that can't be accepted before its connection ends

A body over the size limit, or one that comes too slowly, got its refusal and at once a closed connection; the unread bytes made the kernel reset it, and the caller lost the refusal. The refusal is now sent first and up to 16 MiB or one second of the rest is dropped. The outcome is `not-run` until an attempt has left, `unknown` after.

test_path_streams.py guards whole arrival, size limits, backpressure both ways and replay.

--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -1,6 +1,7 @@
 """HTTP side of the ingress: callers' requests in, answers and refusals out."""
 
 import asyncio
+import contextlib
 import hashlib
 import logging
 import math
@@ -43,6 +44,8 @@
 }
 METHODS = ["GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS"]
 HEADER_TIMEOUT_S = 10
+LINGER_S = 1.0
+LINGER_BYTES = 16 << 20
 STOP_POLL_S = 0.02
 
 
@@ -220,20 +223,35 @@
         try:
             async with asyncio.timeout_at(deadline):
                 req = await self._caller_request(request)
-        except TimeoutError:
-            self._bad_request(work.request_id, 408, "CallerTooSlow")
-            return problem(408, "body not received in time", work.request_id)
+        except TimeoutError as exc:
+            return await self._refuse_body(request, work, exc, Outcome.NOT_RUN)
+        except (SanicException, BodyTooLargeError) as exc:
+            return await self._refuse_body(request, work, exc, Outcome.NOT_RUN)
         try:
             result = await self._ingress.run(work, req, deadline)
         except CallerBodyError as exc:
-            too_large = isinstance(exc.cause, BodyTooLargeError | PayloadTooLarge)
-            status = 413 if too_large else 400
-            self._bad_request(work.request_id, status, type(exc.cause).__name__)
-            return problem(status, str(exc), work.request_id, exc.outcome)
+            return await self._refuse_body(request, work, exc.cause, exc.outcome)
         if isinstance(result, Refuse):
             return self._refusal(work, result, started)
         return await self._deliver(request, work, result, started)
 
+    async def _refuse_body(self, request, work, exc, outcome):
+        """Refuse a request whose body can't be read to its end."""
+        status, detail = 400, str(exc)
+        if isinstance(exc, BodyTooLargeError | PayloadTooLarge):
+            status = 413
+        elif isinstance(exc, TimeoutError):
+            status, detail = 408, "body not received in time"
+        self._bad_request(work.request_id, status, type(exc).__name__)
+        refusal = problem(status, detail, work.request_id, outcome)
+        await (await request.respond(refusal)).send(end_stream=True)
+        # Closing at once would reset the connection under the refusal.
+        taken = 0
+        with contextlib.suppress(TimeoutError, SanicException):
+            async with asyncio.timeout(LINGER_S):
+                while request.stream.request_body and taken < LINGER_BYTES:
+                    taken += len(await request.stream.read() or b"")
+
     def _authenticate(self, request):
         scheme, _, key = request.headers.get("authorization", "").partition(" ")
         if scheme.lower() != "bearer" or not key:
@@ -255,20 +273,20 @@
 
         Raises
         ------
-        PayloadTooLarge
+        BodyTooLargeError
             If the body exceeds the limit as far as that is known now.
         """
         limit = self._limits.max_request_body_bytes
         stream = request.stream
         if stream.request_bytes_left > limit:
-            raise PayloadTooLarge(f"body exceeds {limit} bytes")
+            raise BodyTooLargeError(f"body exceeds {limit} bytes")
         parts, size = [], 0
         while stream.request_body and size < REPLAY_LIMIT_BYTES:
             data = await stream.read()
             parts.append(data or b"")
             size += len(parts[-1])
             if size > limit:
-                raise PayloadTooLarge(f"body exceeds {limit} bytes")
+                raise BodyTooLargeError(f"body exceeds {limit} bytes")
         rest = BodyRest(stream.read, size, limit) if stream.request_body else None
         target = request.path
         if request.query_string:
--- a/tests/support/path.py
+++ b/tests/support/path.py
@@ -24,7 +24,7 @@
 )
 
 AUTH = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
-PUT_ROUTE = """
+MORE_ROUTES = """
 [route replace]
 service = orders
 path = /orders
@@ -33,6 +33,14 @@
 idempotent = false
 budget_ms = 3000
 
+[route amend]
+service = orders
+path = /orders
+methods = PATCH
+kind = amend
+idempotent = true
+budget_ms = 3000
+
 [route head]
 service = orders
 path = /orders
@@ -42,6 +50,12 @@
 """
 
 
+async def two_daemons(fleet, **limits):
+    """Start an ingress, "vm-a", and a second daemon for the workers, "vm-b"."""
+    await fleet.daemon("vm-a", **limits)
+    return await fleet.daemon("vm-b", **limits)
+
+
 async def until(check, what, limit_s=10.0):
     """Wait until `check()` is true."""
     loop = asyncio.get_running_loop()
@@ -99,7 +113,7 @@
         daemon = Daemon(Settings(daemon=section, limits=limits))
         await daemon.start()
         if not self.daemons:
-            pub = Publication("1", 0, "test", PLANS, ALLOWANCES + PUT_ROUTE)
+            pub = Publication("1", 0, "test", PLANS, ALLOWANCES + MORE_ROUTES)
             await daemon.client.append(CONFIG_STREAM, pub.to_bytes())
         self.daemons[vm] = daemon
         for one in self.daemons.values():
@@ -137,7 +151,7 @@
         return f"http://127.0.0.1:{self.daemons[vm].settings.daemon.ingress_port}{path}"
 
     async def raw_worker(self, endpoint, vm, handle):
-        """Announce a worker that answers each request by `handle(writer, n)`.
+        """Announce a worker that answers each request by `handle(reader, writer, n)`.
 
         `n` counts the requests from 0; returns the list of request lines seen.
         """
@@ -150,7 +164,7 @@
                     match = re.search(r"content-length: (\d+)", head)
                     await reader.readexactly(int(match[1]) if match else 0)
                     seen.append(head.split("\r\n")[0])
-                    await handle(writer, len(seen) - 1)
+                    await handle(reader, writer, len(seen) - 1)
             writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
--- a/tests/test_path_failures.py
+++ b/tests/test_path_failures.py
@@ -6,7 +6,7 @@
 
 from dandelionarch.core.messages.request import LoadReport, ResponseHead
 from tests.support.fleet import free_ports
-from tests.support.path import fleet_test, until
+from tests.support.path import fleet_test, two_daemons, until
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 BROKEN_ANSWERS = {
@@ -23,16 +23,10 @@
 }
 
 
-async def two_daemons(fleet):
-    """Start an ingress and a second daemon for the workers."""
-    await fleet.daemon("vm-a")
-    return await fleet.daemon("vm-b")
-
-
 def reply_and_close(data):
     """Return a raw worker's handler that sends bytes and ends the connection."""
 
-    async def handle(writer, n):
+    async def handle(reader, writer, n):
         writer.write(data)
         writer.close()
 
@@ -77,7 +71,7 @@
         """Guards against taking unread bytes as the answer to the next request."""
         await two_daemons(fleet)
 
-        async def handle(writer, n):
+        async def handle(reader, writer, n):
             writer.write(OK)
             await asyncio.sleep(0.05)
             writer.write(OK.replace(b"ok", b"no"))
@@ -117,7 +111,7 @@
         """Guards against the HTTP library's own resending on reused connections."""
         await two_daemons(fleet)
 
-        async def handle(writer, n):
+        async def handle(reader, writer, n):
             if n == 0:
                 writer.write(OK)
             else:
@@ -138,7 +132,7 @@
         """Guards the retry at the same endpoint, whose connection alone failed."""
         await two_daemons(fleet)
 
-        async def handle(writer, n):
+        async def handle(reader, writer, n):
             if n == 1:
                 writer.close()
             else:
--- /dev/null
+++ b/tests/test_path_streams.py
@@ -0,0 +1,212 @@
+"""Large bodies: streaming, backpressure, size limits and replay."""
+
+import asyncio
+import contextlib
+import hashlib
+from unittest.mock import AsyncMock, Mock
+
+import aiohttp
+
+from dandelionarch.daemon.attempt import (
+    REPLAY_LIMIT_BYTES,
+    AttemptStream,
+    BodyRest,
+    CallerRequest,
+)
+from tests.support.path import fleet_test, two_daemons, until
+
+MIB = 1 << 20
+# Kernel buffers of the connections on the way hold some MiB besides our windows.
+STALL_LIMIT_BYTES = 24 * MIB
+ENDLESS_CHUNKS = 1024
+
+
+class Source:
+    """Body that counts how much of it was taken."""
+
+    def __init__(self, size, pause_s=0.0):
+        self.taken = 0
+        self._size = size
+        self._pause_s = pause_s
+
+    async def __aiter__(self):
+        part = b"0123456789abcdef" * 4096
+        while self.taken < self._size:
+            await asyncio.sleep(self._pause_s)
+            self.taken += len(part)
+            yield part
+
+
+async def stalled(progress):
+    """Wait until `progress()` stays the same for half a second; return it."""
+    before = -1
+    while (now := progress()) != before:
+        before = now
+        await asyncio.sleep(0.5)
+    return before
+
+
+class TestRequestBodies:
+    """A request body passes whole, or the caller is told that it did not."""
+
+    @fleet_test
+    async def test_large_body_arrives_whole(self, fleet, session):
+        """Guards the order and completeness of a streamed body."""
+        await two_daemons(fleet)
+        await fleet.worker("w1", "vm-b")
+        part = b"0123456789abcdef" * 4096
+        for size in (4 * MIB, 4 * len(part)):
+            body = part * (size // len(part))
+            for data in (body, Source(size)):
+                async with session.post(fleet.url("vm-a"), data=data) as resp:
+                    said = await resp.json()
+                assert said["size"] == size
+                assert said["digest"] == hashlib.sha256(body).hexdigest()
+
+    @fleet_test
+    async def test_too_large_body(self, fleet, session):
+        """Guards the size limit, with and without an announced length."""
+        await two_daemons(fleet, max_request_body_bytes=MIB)
+        worker = await fleet.worker("w1", "vm-b")
+        async with session.post(fleet.url("vm-a"), data=b"x" * 2 * MIB) as resp:
+            assert resp.status == 413
+            assert resp.headers["Dandelion-Outcome"] == "not-run"
+        assert worker.runs == []
+        async with session.post(fleet.url("vm-a"), data=Source(2 * MIB)) as resp:
+            assert resp.status == 413
+            assert resp.headers["Dandelion-Outcome"] == "unknown"
+        await until(lambda: worker.runs[0]["end"], "worker stops")
+        assert [run["result"] for run in worker.runs] == ["cancelled"]
+
+    @fleet_test
+    async def test_body_that_comes_too_slowly(self, fleet, session):
+        """Guards against a caller that holds a request open without end."""
+        await two_daemons(fleet)
+        worker = await fleet.worker("w1", "vm-b")
+        headers = {"Dandelion-Time-Budget": "200"}
+        slow = Source(MIB, pause_s=0.15)
+        async with session.post(fleet.url("vm-a"), data=slow, headers=headers) as resp:
+            assert resp.status == 408
+            assert resp.headers["Dandelion-Outcome"] == "not-run"
+        assert worker.runs == []
+
+    @fleet_test
+    async def test_worker_that_does_not_read(self, fleet, session):
+        """Guards against taking more from the caller than the worker reads."""
+        await two_daemons(fleet, max_request_body_bytes=1 << 30)
+
+        async def handle(reader, writer, n):
+            reader._transport.pause_reading()
+            await asyncio.sleep(30)
+
+        await fleet.raw_worker("raw", "vm-b", handle)
+        source = Source(ENDLESS_CHUNKS * 65_536)
+        task = asyncio.create_task(session.post(fleet.url("vm-a"), data=source))
+        assert await stalled(lambda: source.taken) < STALL_LIMIT_BYTES
+        task.cancel()
+
+
+class TestReplay:
+    """A body is sent again only if all of it is still there."""
+
+    @fleet_test
+    async def test_refused_before_the_limit(self, fleet, session):
+        """Guards the redirect of a large body that an endpoint did not take."""
+        daemon = await two_daemons(fleet)
+        await fleet.worker("w1", "vm-b")
+        await fleet.worker("w2", "vm-b")
+        daemon.directory.drop_endpoint("w1")
+        body = b"x" * MIB
+        for _ in range(6):
+            async with session.post(fleet.url("vm-a"), data=body) as resp:
+                said = await resp.json()
+            assert said["endpoint"] == "w2"
+            assert said["digest"] == hashlib.sha256(body).hexdigest()
+
+    @fleet_test
+    async def test_failed_before_and_after_the_limit(self, fleet, session):
+        """Guards against sending the rest of a body as if it were the whole."""
+        await two_daemons(fleet)
+
+        async def handle(reader, writer, n):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.3):
+                    while await reader.read(65_536):
+                        pass
+            writer.close()
+
+        seen = await fleet.raw_worker("raw", "vm-b", handle)
+        await fleet.worker("w2", "vm-b")
+        for size, status in ((MIB, 502), (200_000, 200)):
+            seen.clear()
+            body = b"x" * size
+            while not seen:
+                async with session.patch(fleet.url("vm-a"), data=body) as resp:
+                    said = await resp.json()
+                if resp.status == 200:
+                    assert said["digest"] == hashlib.sha256(body).hexdigest()
+            assert resp.status == status
+            assert said.get("outcome", "unknown") == "unknown"
+
+    def test_caller_is_read_after_the_endpoint(self):
+        """Guards the replay of a body whose kept start was all that was sent."""
+        asyncio.run(self._send_start())
+
+    async def _send_start(self):
+        async def read():
+            return b""
+
+        rest = BodyRest(read, REPLAY_LIMIT_BYTES, MIB)
+        req = CallerRequest("POST", "/", (), bytes(REPLAY_LIMIT_BYTES), rest)
+        stream = AttemptStream(1, "w1", Mock(writable=AsyncMock()))
+        task = asyncio.create_task(stream.send_body(req))
+        await until(lambda: stream.link.send.call_count == 4, "start is sent")
+        await asyncio.sleep(0)
+        assert req.replayable()
+        task.cancel()
+
+
+class TestAnswers:
+    """A large answer is held back by a slow caller."""
+
+    @fleet_test
+    async def test_large_answer_arrives_whole(self, fleet, session):
+        """Guards the order and completeness of a streamed answer."""
+        await two_daemons(fleet)
+        await fleet.worker("w1", "vm-b")
+        for chunked in ("", "&chunked=1"):
+            url = fleet.url("vm-a", f"/orders/1?size={3 * MIB}{chunked}")
+            async with session.get(url) as resp:
+                assert await resp.read() == bytes(range(256)) * (3 * MIB // 256)
+
+    @fleet_test
+    async def test_caller_that_does_not_read(self, fleet, session):
+        """Guards against holding an answer that the caller does not take."""
+        await two_daemons(fleet, max_response_body_bytes=1 << 30)
+        sent = 0
+
+        async def handle(reader, writer, n):
+            nonlocal sent
+            size = ENDLESS_CHUNKS * 65_536
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size)
+            for _ in range(ENDLESS_CHUNKS):
+                writer.write(bytes(65_536))
+                await writer.drain()
+                sent += 65_536
+
+        await fleet.raw_worker("raw", "vm-b", handle)
+        resp = await session.get(fleet.url("vm-a"))
+        assert resp.status == 200
+        assert await stalled(lambda: sent) < STALL_LIMIT_BYTES
+        resp.close()
+
+    @fleet_test
+    async def test_answer_over_the_size_limit(self, fleet, session):
+        """Guards the size limit of answers, which must not look whole."""
+        await two_daemons(fleet, max_response_body_bytes=MIB)
+        await fleet.worker("w1", "vm-b")
+        url = fleet.url("vm-a", "/orders/1?size=3000000&chunked=1")
+        async with session.get(url) as resp:
+            with contextlib.suppress(aiohttp.ClientPayloadError):
+                await resp.read()
+                raise AssertionError("answer looks whole")
