Enforce customers' limits over the fleet and shed by plan

Nothing limited a customer. Each customer and service now has an account at its home daemon (rendezvous hash). An ingress admits an eighth of the rate on its own and gets batches of tokens and reserved concurrency from the home beyond that. If the home is silent the own share stays, and requests beyond it are refused at once. Unused tokens go back. While a fleet of ingresses at their own shares exceeds the rate, the home divides the own share further. A home that another may have preceded starts without tokens. In the 30 s before a crest, customers that lately needed more than their own share get tokens for it; crest accounts are separate. Requests are shed lowest plan first by the load that agents report. Over limit is 429 and shed is 503, both not-run.

Bound on the requests admitted in T seconds: one burst plus rate x T per daemon that grants as home, plus per ingress an eighth of both. A plan without an allowance for a service is refused, as the list says what a plan may use.

Ruled out: reporting each own use to the home (110 messages/s per daemon at the target), and restarting homes with a full bucket.

--- /dev/null
+++ b/dandelionarch/core/limit_share.py
@@ -0,0 +1,310 @@
+"""The ingress's side of customers' limits: own share and tokens granted by homes."""
+
+import math
+from dataclasses import dataclass
+from enum import Enum
+
+from dandelionarch.core.limits import OWN_DIVISOR, TokenBucket
+from dandelionarch.core.messages.limits import TokenRequest
+
+GRANT_LIFE_S = 10.0
+BATCH_S = 10.0
+# A home that did not answer is not asked again for this time, so that requests
+# beyond the own share are refused at once.
+SILENT_HOME_S = 1.0
+DIVISOR_LIFE_S = 30.0
+HOLD_RENEW_S = 4.0
+# Shorter than the home's, so that no two ingresses use the same concurrency.
+HOLD_LIFE_S = 9.0
+IDLE_S = 300.0
+# One-way reports of own use per customer at its full rate; see `_sample`.
+REPORTS_PER_S = 0.5
+HOLD_DENIED_S = 0.2
+AHEAD_PER_CALL = 5
+# Refused until further notice, when the plan has no allowance for the service.
+NO_ALLOWANCE_RETRY_S = 60.0
+
+
+class Step(Enum):
+    """What to do with a request."""
+
+    ADMIT = "admit"
+    REFUSE = "refuse"
+    ASK = "ask"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """A step; with `ASK` and sometimes with `ADMIT` goes a message for the home.
+
+    `key` is to be passed to `LimitShares.done` when an admitted request ends.
+    """
+
+    step: Step
+    key: tuple = ()
+    retry_after_s: float = 0.0
+    message: TokenRequest | None = None
+
+
+class ShareAccount:
+    """What an ingress knows of one customer's use of a service in one period."""
+
+    __slots__ = (
+        "allowed",
+        "denied_until",
+        "divisor",
+        "divisor_at",
+        "granted",
+        "granted_until",
+        "hold",
+        "hold_at",
+        "hold_denied_until",
+        "in_flight",
+        "own",
+        "per_s",
+        "returned",
+        "spent",
+        "table",
+        "used_at",
+    )
+
+    def __init__(self, allowed, table, now):
+        self.allowed = allowed
+        self.table = table
+        self.divisor = OWN_DIVISOR
+        self.divisor_at = now
+        self.own = TokenBucket(self.own_burst, now)
+        self.granted = 0
+        self.granted_until = 0.0
+        self.spent = 0
+        self.returned = 0
+        self.denied_until = 0.0
+        self.in_flight = 0
+        self.hold = 0
+        self.hold_at = -math.inf
+        self.hold_denied_until = 0.0
+        self.per_s = 0.0
+        self.used_at = now
+
+    @property
+    def own_burst(self):
+        """Return the requests that may be admitted at once on the own share."""
+        return max(1.0, self.allowed.burst / self.divisor)
+
+    @property
+    def own_concurrency(self):
+        """Return the requests that may run at once on the own share."""
+        return max(1, self.allowed.concurrency // self.divisor)
+
+    @property
+    def concurrency(self):
+        """Return the requests that may run at once."""
+        return max(self.own_concurrency, self.hold)
+
+    def refresh(self, now):
+        """Bring tokens, grants and holds up to date."""
+        if now - self.divisor_at > DIVISOR_LIFE_S:
+            self.divisor = max(OWN_DIVISOR, self.divisor // 2)
+            self.divisor_at = now
+        self.own.refill(self.allowed.rate / self.divisor, self.own_burst, now)
+        if self.granted and now > self.granted_until:
+            self.returned += self.granted
+            self.granted = 0
+        if now - self.hold_at > HOLD_LIFE_S:
+            self.hold = 0
+
+    def note_use(self, now):
+        """Count one request towards the demand of this customer."""
+        self.per_s *= 0.5 ** ((now - self.used_at) / BATCH_S)
+        self.per_s += 0.693 / BATCH_S
+        self.used_at = now
+
+
+class LimitShares:
+    """Decides at one ingress whether a customer's request is within the limits.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Chooses which own uses are reported to the home.
+    """
+
+    def __init__(self, rng):
+        # In the order of their last use, so that idle ones are found first.
+        self.accounts = {}
+        self._open = set()
+        self._asked = {}
+        self._rng = rng
+        self._table = None
+        self._silent = {}
+
+    def use_table(self, table):
+        """Put the limits of accepted lists in force; use so far still counts."""
+        self._table = table
+
+    def admit(self, customer, service, now, utc_s, asked=False):
+        """Return the `Verdict` on a request.
+
+        Parameters
+        ----------
+        now, utc_s : float
+            Monotonic time, and the wall clock by which crests start, in seconds.
+        asked : bool
+            True after the home's reply, so that it is not asked again.
+        """
+        key = (customer, service, self._table.calendar.current(service, utc_s))
+        account = self._account(key, now)
+        if account is None:
+            return Verdict(Step.REFUSE, key, NO_ALLOWANCE_RETRY_S)
+        account.refresh(now)
+        if not asked:
+            account.note_use(now)
+        if account.in_flight < account.concurrency:
+            if account.own.tokens >= 1:
+                account.own.tokens -= 1
+                account.spent += 1
+                account.in_flight += 1
+                message = self._sample(key, account)
+                return Verdict(Step.ADMIT, key, message=message)
+            if account.granted:
+                account.granted -= 1
+                account.in_flight += 1
+                return Verdict(Step.ADMIT, key)
+        return self._beyond(key, account, now, asked)
+
+    def granted(self, msg, now):
+        """Take a `TokenGrant` of the home."""
+        account = self.accounts.get((msg.customer, msg.service, msg.period))
+        if account is None:
+            return
+        account.granted += msg.tokens
+        account.granted_until = max(account.granted_until, now + GRANT_LIFE_S)
+        account.divisor, account.divisor_at = max(1, msg.divisor), now
+        account.hold, account.hold_at = msg.hold, now
+        if msg.hold <= account.in_flight >= account.own_concurrency:
+            account.hold_denied_until = now + HOLD_DENIED_S
+        if account.granted or account.hold:
+            self._open.add((msg.customer, msg.service, msg.period))
+        if msg.retry_ms and not msg.tokens:
+            account.denied_until = now + msg.retry_ms / 1000
+
+    def silent(self, home, msg, now):
+        """Take note that a home did not answer.
+
+        Own use that was told in the lost message is told again: counting it twice
+        is safe, not counting it would exceed the limit.
+        """
+        self._silent[home] = now + SILENT_HOME_S
+        account = self.accounts.get((msg.customer, msg.service, msg.period))
+        if account is not None:
+            account.denied_until = now + SILENT_HOME_S
+            account.spent += msg.spent
+
+    def is_silent(self, home, now):
+        """Return True if a home did not answer within the last second."""
+        return self._silent.get(home, 0.0) > now
+
+    def done(self, key):
+        """Take note of the end of an admitted request."""
+        account = self.accounts.get(key)
+        if account is not None and account.in_flight:
+            account.in_flight -= 1
+
+    def tick(self, now):
+        """Return messages that give back what is no longer used."""
+        messages = []
+        for key in list(self._open):
+            account = self.accounts.get(key)
+            if account is not None:
+                account.refresh(now)
+                idle = account.in_flight < account.own_concurrency
+                renew = account.hold and now - account.hold_at > HOLD_RENEW_S
+                if account.returned or renew or (account.hold and idle):
+                    account.hold = 0 if idle else account.hold
+                    messages.append(self._request(key, account, 0))
+            if account is None or not (account.hold or account.granted):
+                self._open.discard(key)
+        self._forget_idle(now)
+        return messages
+
+    def ahead(self, now, utc_s):
+        """Return requests for tokens of crests that start soon.
+
+        Only customers that lately needed more than the own share here are asked
+        for, a few in each call, so that the control traffic is spread.
+        """
+        messages = []
+        for customer, service, period in list(self._asked):
+            coming = self._table.calendar.coming(service, utc_s)
+            key = (customer, service, coming)
+            if coming and not period and key not in self.accounts:
+                lead_s = coming - utc_s
+                message = self._ahead_request(key, lead_s, now)
+                messages += [message] if message else []
+            if len(messages) == AHEAD_PER_CALL:
+                break
+        return messages
+
+    def _forget_idle(self, now):
+        for key, account in list(self.accounts.items()):
+            if now - account.used_at <= IDLE_S or account.in_flight:
+                break
+            del self.accounts[key]
+            self._asked.pop(key, None)
+
+    def _ahead_request(self, key, lead_s, now):
+        account = self._account(key, now)
+        if account is None:
+            return None
+        account.granted_until = now + lead_s + GRANT_LIFE_S
+        wanted = math.ceil(account.allowed.burst / 2)
+        return self._request(key, account, wanted)
+
+    def _account(self, key, now):
+        account = self.accounts.pop(key, None)
+        if account is None or account.table is not self._table:
+            allowed = self._table.allowed(*key)
+            if allowed is None:
+                return None
+            account = account or ShareAccount(allowed, self._table, now)
+            account.allowed, account.table = allowed, self._table
+        self.accounts[key] = account
+        return account
+
+    def _beyond(self, key, account, now, asked):
+        """Refuse at once what the home has just denied; otherwise ask it."""
+        crowded = account.in_flight >= account.concurrency
+        until = account.hold_denied_until if crowded else account.denied_until
+        if asked or until > now:
+            retry_s = max(1 / account.allowed.rate, until - now)
+            return Verdict(Step.REFUSE, key, retry_s)
+        wanted = 0
+        if account.own.tokens < 1 and not account.granted:
+            most = max(1, int(account.allowed.burst / 2))
+            wanted = min(most, math.ceil(max(1.0, account.per_s * BATCH_S)))
+        self._asked[key] = now
+        return Verdict(Step.ASK, key, message=self._request(key, account, wanted))
+
+    def _request(self, key, account, wanted):
+        spent, account.spent = account.spent, 0
+        returned, account.returned = account.returned, 0
+        hold = 0
+        if account.in_flight >= account.own_concurrency:
+            hold = min(account.allowed.concurrency, 2 * account.in_flight + 1)
+        # The home reserves no more from now on, whether or not its reply arrives.
+        account.hold = min(account.hold, hold)
+        return TokenRequest(*key, wanted, spent, returned, hold)
+
+    def _sample(self, key, account):
+        """Return a report of own use now and then.
+
+        The chance falls with the rate, so that the reports of one customer do not
+        grow with it; use close to the own share is reported more often, as many
+        ingresses at their own shares may together exceed the rate.
+        """
+        chance = REPORTS_PER_S / account.allowed.rate
+        if account.own.tokens < account.own_burst / 2:
+            chance *= OWN_DIVISOR
+        if self._rng.random() >= chance:
+            return None
+        return self._request(key, account, 0)
--- /dev/null
+++ b/dandelionarch/core/limits.py
@@ -0,0 +1,216 @@
+"""Customers' limits: what a plan allows now, and the home that keeps the tokens.
+
+Each customer and service has an account at its home daemon. The ingresses that the
+customer uses admit a part of the rate on their own and get the rest from the home
+in batches of tokens.
+"""
+
+from dataclasses import dataclass, field
+
+from dandelionarch.core.crests import CrestCalendar
+from dandelionarch.core.messages.limits import TokenGrant
+from dandelionarch.core.rendezvous import Placement, rank
+
+OWN_DIVISOR = 8
+MAX_DIVISOR = 8192
+# Views of the living members agree within this time; see the suspicion time of
+# the membership.
+SETTLE_S = 10.0
+HOLD_LIFE_S = 10.0
+RATE_WINDOW_S = 4.0
+DIVISOR_STEP_S = 1.0
+ACCOUNT_LIFE_S = 600.0
+# Asking more often for tokens that trickle in would cost control traffic only.
+RETRY_MIN_S = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Allowed:
+    """What one customer may use of one service: requests/s, requests, requests."""
+
+    rate: float
+    burst: float
+    concurrency: int
+
+
+class LimitTable:
+    """Limits of customers by the accepted lists.
+
+    Parameters
+    ----------
+    lists : Lists
+    """
+
+    def __init__(self, lists):
+        self._lists = lists
+        self.calendar = CrestCalendar(lists)
+
+    def allowed(self, customer, service, period):
+        """Return the `Allowed` of a period, or None if the plan has no allowance.
+
+        `period` is 0, or the start of a crest, for which the crest values hold.
+        """
+        section = self._lists.customers.get(customer)
+        allow = section and self._lists.allow.get((section.plan, service))
+        if allow is None:
+            return None
+        if not period:
+            return Allowed(allow.rate, allow.burst, allow.concurrency)
+        return Allowed(
+            allow.crest_rate or allow.rate,
+            allow.crest_burst or allow.burst,
+            allow.crest_concurrency or allow.concurrency,
+        )
+
+
+@dataclass(slots=True)
+class TokenBucket:
+    """Tokens that refill at a rate up to a burst; they can be negative as a debt."""
+
+    tokens: float
+    updated: float
+
+    def refill(self, rate, burst, now):
+        """Bring the tokens up to date."""
+        elapsed_s = max(0.0, now - self.updated)
+        self.tokens = min(burst, self.tokens + rate * elapsed_s)
+        self.updated = now
+
+
+@dataclass(slots=True)
+class HomeAccount:
+    """What the home knows of one customer's use of a service in one period."""
+
+    bucket: TokenBucket
+    divisor: float = OWN_DIVISOR
+    holds: dict = field(default_factory=dict)
+    used_per_s: float = 0.0
+    used_at: float = 0.0
+    adjusted_at: float = 0.0
+
+
+class LimitHome:
+    """Accounts of the customers whose home this daemon is.
+
+    An account that may have had another home a moment ago starts without tokens:
+    what that home had granted is not granted again.
+
+    Parameters
+    ----------
+    vm_id : VmId
+        This daemon's VM.
+    now : float
+        Time in seconds.
+    """
+
+    def __init__(self, vm_id, now):
+        self.vm_id = vm_id
+        self.accounts = {}
+        self._table = None
+        self._started = now
+        self._placement = Placement({vm_id})
+        self._removed = {}
+
+    def use_table(self, table):
+        """Put the limits of accepted lists in force."""
+        self._table = table
+
+    def members_changed(self, members, now):
+        """Take note of the living VMs."""
+        members = frozenset(members) | {self.vm_id}
+        gone = self._placement.members - members
+        self._removed.update((vm_id, now) for vm_id in gone)
+        self._placement.change(members)
+        self._removed = {
+            vm_id: at for vm_id, at in self._removed.items() if now - at < SETTLE_S
+        }
+
+    def handle(self, msg, sender, now):
+        """Settle a `TokenRequest`; return the `TokenGrant`, or None if none is due."""
+        allowed = self._table and self._table.allowed(
+            msg.customer, msg.service, msg.period
+        )
+        if allowed is None or self._placement.home(msg.customer) != self.vm_id:
+            return self._grant(msg, 0, 0, OWN_DIVISOR, 1000)
+        account = self._account(msg, allowed, now)
+        bucket = account.bucket
+        bucket.refill(allowed.rate, allowed.burst, now)
+        bucket.tokens += msg.returned - msg.spent
+        tokens = max(0, min(msg.wanted, int(bucket.tokens)))
+        bucket.tokens -= tokens
+        hold = self._hold(account, sender, msg.hold, allowed, now)
+        self._adjust(account, allowed, tokens + msg.spent - msg.returned, now)
+        retry_ms = 0
+        if tokens < msg.wanted:
+            retry_s = max(RETRY_MIN_S, (1 - bucket.tokens) / allowed.rate)
+            retry_ms = int(1000 * retry_s)
+        if not msg.wanted and not msg.hold and int(account.divisor) == OWN_DIVISOR:
+            return None
+        return self._grant(msg, tokens, hold, int(account.divisor), retry_ms)
+
+    def expire(self, now):
+        """Forget accounts that were not used for 10 min."""
+        for key, account in list(self.accounts.items()):
+            if now - account.bucket.updated > ACCOUNT_LIFE_S:
+                del self.accounts[key]
+
+    def _grant(self, msg, tokens, hold, divisor, retry_ms):
+        retry_ms = min(retry_ms, 600_000)
+        return TokenGrant(
+            msg.customer, msg.service, msg.period, tokens, hold, divisor, retry_ms
+        )
+
+    def _account(self, msg, allowed, now):
+        key = (msg.customer, msg.service, msg.period)
+        account = self.accounts.get(key)
+        if account is None:
+            full = not self._new_home(msg.customer, now, now - SETTLE_S)
+            bucket = TokenBucket(allowed.burst if full else 0.0, now)
+            account = self.accounts[key] = HomeAccount(bucket, adjusted_at=now)
+            account.used_at = now
+        elif self._new_home(msg.customer, now, account.bucket.updated):
+            account.bucket.tokens = min(0.0, account.bucket.tokens)
+            account.bucket.updated = now
+        return account
+
+    def _new_home(self, customer, now, since):
+        """Return True if another daemon may have been the home since an instant."""
+        if now - self._started < SETTLE_S and since < self._started:
+            return len(self._placement.members) > 1
+        gone = [vm_id for vm_id, at in self._removed.items() if at > since]
+        return bool(gone) and rank(customer, [*gone, self.vm_id])[0] != self.vm_id
+
+    def _hold(self, account, sender, wanted, allowed, now):
+        """Return the concurrency that is reserved for an ingress until it expires."""
+        account.holds.pop(sender, None)
+        account.holds = {
+            vm_id: (held, until)
+            for vm_id, (held, until) in account.holds.items()
+            if until > now
+        }
+        free = allowed.concurrency - sum(held for held, _ in account.holds.values())
+        hold = max(0, min(wanted, free))
+        if hold:
+            account.holds[sender] = (hold, now + HOLD_LIFE_S)
+        return hold
+
+    def _adjust(self, account, allowed, used, now):
+        """Lower the own share while the fleet uses more than the rate.
+
+        Ingresses that each use their full own share make a use of their number by
+        that share; the divisor by which they stay within the rate is proportional.
+        """
+        elapsed_s = now - account.used_at
+        account.used_per_s *= 0.5 ** (elapsed_s / RATE_WINDOW_S)
+        account.used_per_s += used * 0.693 / RATE_WINDOW_S
+        account.used_at = now
+        since_s = now - account.adjusted_at
+        if since_s < DIVISOR_STEP_S:
+            return
+        excess = account.used_per_s / allowed.rate
+        if excess > 1.2 and account.bucket.tokens < 0:
+            account.divisor = min(MAX_DIVISOR, account.divisor * min(8.0, excess))
+        elif account.bucket.tokens > 0:
+            decay = 0.5 ** (since_s / SETTLE_S)
+            account.divisor = max(OWN_DIVISOR, account.divisor * decay)
+        account.adjusted_at = now
--- a/dandelionarch/core/lists.py
+++ b/dandelionarch/core/lists.py
@@ -6,6 +6,7 @@
 
 import pydantic
 
+from dandelionarch.core.crests import CrestCalendar
 from dandelionarch.errors import ListError
 from dandelionarch.ids import CustomerId, RouteName, ServiceName
 
@@ -235,6 +236,7 @@
 
 def check_references(lists):
     """Raise `ListError` if a section names a service or plan that isn't there."""
+    CrestCalendar(lists)
     for name, route in lists.routes.items():
         _require(lists.services, route.service, f"route {name}", "service")
     for name, crest in lists.crests.items():
--- a/dandelionarch/core/rendezvous.py
+++ b/dandelionarch/core/rendezvous.py
@@ -19,3 +19,40 @@
 def _score(key, vm_id):
     digest = hashlib.blake2b(f"{key}\0{vm_id}".encode(), digest_size=8).digest()
     return digest, vm_id
+
+
+class Placement:
+    """Homes of keys over changing members, remembered until a member matters.
+
+    Parameters
+    ----------
+    members : iterable of VmId
+    capacity : int
+        Keys whose homes are remembered.
+    """
+
+    def __init__(self, members, capacity=5000):
+        self.members = frozenset(members)
+        self._capacity = capacity
+        self._best = {}
+
+    def home(self, key):
+        """Return the first-ranked member for a key."""
+        best = self._best.get(key)
+        if best is None:
+            if len(self._best) >= self._capacity:
+                self._best.clear()
+            best = self._best[key] = max(_score(key, vm_id) for vm_id in self.members)
+        return best[1]
+
+    def change(self, members):
+        """Use other members; only keys that are affected are placed again."""
+        members = frozenset(members)
+        joined, left = members - self.members, self.members - members
+        self.members = members
+        for key, best in list(self._best.items()):
+            if best[1] in left:
+                del self._best[key]
+            elif joined:
+                scores = (_score(key, vm_id) for vm_id in joined)
+                self._best[key] = max(best, *scores)
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -17,6 +17,7 @@
 from dandelionarch.daemon.gossip import DirectoryExchange
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
+from dandelionarch.daemon.limits import Limits
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.logclient import LogClient
 from dandelionarch.daemon.order_home import OrderHomes
@@ -98,7 +99,11 @@
             self.vm,
             random.Random(),
         )
-        self.http = IngressHttp(self.ingress, self.orders, self.active, settings.limits)
+        self.limits = Limits(self.network, self.directory, self.active, random.Random())
+        self.ingress.on_load = self.limits.load_told
+        self.http = IngressHttp(
+            self.ingress, self.orders, self.limits, self.active, settings.limits
+        )
         self.admin = Admin(self)
         self.exchange = DirectoryExchange(
             self.network, self.directory, self.vm, cfg.seed_addresses
@@ -134,6 +139,7 @@
             self.streams.run(),
             self.exchange.run(),
             self.order_homes.run(),
+            self.limits.run(),
         ):
             self._tasks.append(asyncio.create_task(coro))
 
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -92,6 +92,7 @@
         self._in_flight = {}
         self._loads = {}
         self.decisions = {}
+        self.on_load = lambda load: None
         for cls in (msgs.ResponseHead, msgs.ResponseChunk, msgs.Refusal, msgs.Failure):
             network.subscribe(cls, self._on_reply)
         network.subscribe(
@@ -273,6 +274,7 @@
             others = max(0, load.running + load.queued - own)
             now = asyncio.get_running_loop().time()
             self._loads[load.endpoint_id] = (now, load, others)
+            self.on_load(load)
         stream.mailbox.put_nowait(msg)
 
     def _on_credit(self, link, msg, agent):
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -26,6 +26,7 @@
 }
 REASON_STATUS = {
     Reason.DEADLINE: 504,
+    Reason.OVER_LIMIT: 429,
     Reason.KEY_REUSED: 422,
     Reason.ORDER_IN_PROGRESS: 409,
 }
@@ -70,15 +71,18 @@
         Runs the requests.
     orders : OrderGate
         Lets an order with an idempotency key pass at most once.
+    customer_limits : Limits
+        Admits requests within the customers' limits and sheds load.
     state : object
         Has `keys`, `routes` and `lists` of the accepted configuration, or None.
     limits : LimitsSection
         Size limits.
     """
 
-    def __init__(self, ingress, orders, state, limits):
+    def __init__(self, ingress, orders, customer_limits, state, limits):
         self._ingress = ingress
         self._orders = orders
+        self._customer_limits = customer_limits
         self._state = state
         self._limits = limits
         self.in_flight = 0
@@ -145,11 +149,19 @@
             route.idempotent,
             self._state.lists.plans[plan].priority,
         )
+        key, reason, retry_s = await self._customer_limits.admit(work)
+        if reason is not None:
+            retry_s = self._ingress.retry_after_s(retry_s)
+            refuse = Refuse(Outcome.NOT_RUN, reason, retry_s)
+            return self._refusal(work, refuse, started)
         req = _caller_request(request)
-        result = await self._run(request, work, req, started + budget_s)
-        if isinstance(result, Refuse):
-            return self._refusal(work, result, started)
-        return await self._deliver(request, work, result, started)
+        try:
+            result = await self._run(request, work, req, started + budget_s)
+            if isinstance(result, Refuse):
+                return self._refusal(work, result, started)
+            return await self._deliver(request, work, result, started)
+        finally:
+            self._customer_limits.done(key)
 
     async def _run(self, request, work, req, deadline):
         async def execute():
--- /dev/null
+++ b/dandelionarch/daemon/limits.py
@@ -0,0 +1,170 @@
+"""Limits task: settles customers' tokens with their home daemons and sheds load."""
+
+import asyncio
+import contextlib
+import logging
+import time
+
+from dandelionarch.core.limit_share import LimitShares, Step
+from dandelionarch.core.limits import LimitHome, LimitTable
+from dandelionarch.core.messages.limits import TokenGrant, TokenRequest
+from dandelionarch.core.outcome import Reason
+from dandelionarch.core.rendezvous import Placement
+from dandelionarch.core.shedding import LoadShedder
+from dandelionarch.core.world import Vm
+from dandelionarch.errors import LinkError
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+# Within the 3 ms that a request may be delayed at the 99th percentile there is time
+# for one exchange between data centres; a home in trouble is not waited for longer.
+GRANT_TIMEOUT_S = 0.05
+TICK_S = 1.0
+
+
+class Limits:
+    """Decides at this ingress whether a request is admitted, shed or over limit.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+    directory : Directory
+    state : ActiveConfig
+        Has the accepted `lists`.
+    rng : random.Random
+    """
+
+    def __init__(self, network, directory, state, rng):
+        self._network = network
+        self._directory = directory
+        self._state = state
+        self._rng = rng
+        self._lists = None
+        self._priorities = []
+        self._waiting = {}
+        self._replies = {}
+        self._shares = LimitShares(rng)
+        self._home = None
+        self.shedder = LoadShedder()
+        network.subscribe(TokenRequest, self._on_request)
+        network.subscribe(TokenGrant, self._on_grant)
+        directory.on_change(self._on_change)
+        self._placement = Placement({network.vm_id})
+
+    async def run(self):
+        """Give back and renew tokens every second until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            if not self._refresh():
+                continue
+            now = self._network.now()
+            for msg in self._shares.tick(now) + self._shares.ahead(now, time.time()):
+                self._tell(msg)
+            self._home.expire(now)
+
+    async def admit(self, work):
+        """Return (key, None, 0) or (None, `Reason`, seconds until a retry).
+
+        The key is to be passed to `done` when the request has ended.
+        """
+        self._refresh()
+        now = self._network.now()
+        if self.shedder.sheds(
+            work.service, work.priority, self._priorities, now, self._rng
+        ):
+            return None, Reason.SHED, 0.0
+        verdict = self._decide(work)
+        if verdict.step is Step.ASK:
+            await self._ask(verdict)
+            verdict = self._decide(work, asked=True)
+        if verdict.step is Step.REFUSE:
+            return None, Reason.OVER_LIMIT, verdict.retry_after_s
+        if verdict.message is not None:
+            self._tell(verdict.message)
+        return verdict.key, None, 0.0
+
+    def done(self, key):
+        """Take note of the end of an admitted request."""
+        self._shares.done(key)
+
+    def _refresh(self):
+        """Use the accepted lists; return False while there are none."""
+        lists = self._state.lists
+        if lists is not None and lists is not self._lists:
+            self._lists = lists
+            self._priorities = sorted({p.priority for p in lists.plans.values()})
+            table = LimitTable(lists)
+            self._shares.use_table(table)
+            if self._home is None:
+                self._home = LimitHome(self._network.vm_id, self._network.now())
+                self._home.members_changed(self._placement.members, self._network.now())
+            self._home.use_table(table)
+        return lists is not None
+
+    def _on_change(self, thing):
+        if not isinstance(thing, Vm):
+            return
+        living = {vm.vm_id for vm in self._directory.living_vms()}
+        self._placement.change(living | {self._network.vm_id})
+        if self._home is not None:
+            self._home.members_changed(living, self._network.now())
+
+    def load_told(self, load):
+        """Take note of a `LoadReport` of an agent."""
+        endpoint = self._directory.endpoints.get(load.endpoint_id)
+        if endpoint is not None and load.slots:
+            per_slot = (load.running + load.queued) / load.slots
+            self.shedder.observe(endpoint.service, per_slot, self._network.now())
+
+    def _decide(self, work, asked=False):
+        return self._shares.admit(
+            work.customer, work.service, self._network.now(), time.time(), asked
+        )
+
+    async def _ask(self, verdict):
+        """Ask the home once for all requests that wait for the same tokens."""
+        fut = self._waiting.get(verdict.key)
+        if fut is None:
+            fut = self._network.spawn(self._exchange(verdict.key, verdict.message))
+            self._waiting[verdict.key] = fut
+            fut.add_done_callback(lambda _: self._waiting.pop(verdict.key, None))
+        await asyncio.shield(fut)
+
+    async def _exchange(self, key, msg):
+        home = self._placement.home(key[0])
+        if self._shares.is_silent(home, self._network.now()):
+            self._shares.silent(home, msg, self._network.now())
+            return
+        reply = asyncio.get_running_loop().create_future()
+        self._replies[key] = reply
+        try:
+            async with asyncio.timeout(GRANT_TIMEOUT_S):
+                await self._network.send(home, msg)
+                await reply
+        except (LinkError, TimeoutError) as exc:
+            self._shares.silent(home, msg, self._network.now())
+            event(log, "limit_home_silent", vm=home, error=type(exc).__name__)
+        finally:
+            self._replies.pop(key, None)
+
+    def _tell(self, msg):
+        async def send():
+            with contextlib.suppress(LinkError):
+                await self._network.send(self._placement.home(msg.customer), msg)
+
+        self._network.spawn(send())
+
+    def _on_request(self, link, msg):
+        if self._home is None:
+            return
+        grant = self._home.handle(msg, link.vm_id, self._network.now())
+        if grant is not None:
+            with contextlib.suppress(LinkError):
+                link.send(grant)
+
+    def _on_grant(self, link, msg):
+        self._shares.granted(msg, self._network.now())
+        reply = self._replies.get((msg.customer, msg.service, msg.period))
+        if reply is not None and not reply.done():
+            reply.set_result(None)
--- /dev/null
+++ b/tests/test_limit_processes.py
@@ -0,0 +1,55 @@
+"""Limits through separate processes."""
+
+import asyncio
+from collections import Counter
+
+import aiohttp
+import pytest
+
+from tests.support.fleet import ALLOWANCES, CUSTOMER_KEY, Fleet
+
+AUTH = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
+FEW = ALLOWANCES.replace("rate = 1000", "rate = 2").replace("burst = 1000", "burst = 8")
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    """Return a fleet whose processes end with the test."""
+    fleet = Fleet(tmp_path)
+    yield fleet
+    fleet.stop()
+
+
+class TestLimitsOverTheFleet:
+    """Two daemons, one of them the home of the customer's limit."""
+
+    def test_over_limit_is_refused_as_not_run(self, fleet):
+        """Guards the limit over both ingresses, and what the caller is told."""
+        fleet.start_log()
+        fleet.start_daemon("vm-a")
+        fleet.start_daemon("vm-b", seeds=["vm-a"])
+        fleet.start_worker("orders-1", "orders", "vm-b")
+        asyncio.run(self._run(fleet))
+
+    async def _run(self, fleet):
+        async with aiohttp.ClientSession(headers=AUTH) as session:
+            await fleet.until(
+                lambda: fleet.status(session, "vm-b"), "second daemon serves"
+            )
+            published = fleet.publish(allowances=FEW)
+            assert published.returncode == 0, published.stderr
+            await fleet.ready(session, ["orders-1"])
+            counts = Counter()
+            for number in range(60):
+                port = fleet.daemons[("vm-a", "vm-b")[number % 2]].ingress
+                url = f"http://127.0.0.1:{port}/orders/{number}"
+                async with session.get(url) as resp:
+                    counts[resp.status] += 1
+                    if resp.status == 429:
+                        assert resp.headers["Dandelion-Outcome"] == "not-run"
+                        assert int(resp.headers["Retry-After"]) >= 1
+            assert set(counts) == {200, 429}
+            async with session.get(
+                f"http://127.0.0.1:{fleet.workers['orders-1'][0]}/standin/runs"
+            ) as resp:
+                assert len(await resp.json()) == counts[200]
