Add detection of gray failures by CUSUM tests and peers' evidence

A run in progress counts once its age reaches the cap, so a hang shows before any run ends. An alarm asks up to 5 peers for the same window; the median of the peers is the yardstick of the verdict. A shared cause moves the baseline to what the peers show.

A verdict demotes at once; a claim waits for one more bad run, as three stragglers in a row (1e-6 per run) bring a verdict too.

--- a/dandelionarch/core/ejection.py
+++ b/dandelionarch/core/ejection.py
@@ -87,18 +87,23 @@
         self._compared = False
         self._waiting = Waiting.NOTHING
         self._until = 0.0
+        self._next_claim = 0.0
         self._healthy_since = None
         self._trial_run = None
         self._good = 0
         self._bad = 0
 
     def judged(self, score, compared, now):
-        """Handle the detector's verdict that the endpoint is unhealthy."""
+        """Handle the detector's verdict that the endpoint is unhealthy.
+
+        It is demoted at once. A claim waits for one more bad run, as a few
+        stragglers in a row bring a verdict too, and is not made without peers.
+        """
         if self.state is not State.HEALTHY:
             return []
         self._decay(now)
         self.score, self._compared = score, compared
-        return self._demote(now) + self._claim(now)
+        return self._demote(now)
 
     def claim_accepted(self, now):
         """Handle the read-back of this incarnation's accepted claim."""
@@ -120,6 +125,7 @@
         """
         if self._waiting is Waiting.CLAIM:
             self._waiting = Waiting.NOTHING
+            self._next_claim = now + self.hold_s
         return []
 
     def released(self, now):
@@ -132,12 +138,14 @@
         """Handle the loss of an accepted claim: stop ejecting at once."""
         if self.state not in (State.EJECTED, State.TRIAL):
             return []
+        self._next_claim = now + self.hold_s
         return self._demote(now)
 
     def below_floor(self, now):
         """Handle a view of live members below the floor: readmit without the log."""
         if self.state not in (State.EJECTED, State.TRIAL):
             return []
+        self._next_claim = now + self.hold_s
         return self._demote(now) + self._release()
 
     def tick(self, now):
@@ -145,10 +153,6 @@
         if self.state is State.EJECTED and now >= self._until:
             self.state = State.TRIAL
             self._restart_count()
-        elif self.state is State.DEMOTED and now >= self._until:
-            bad, self._bad = self._bad, 0
-            self._until = now + self.hold_s
-            return self._claim(now) if bad else []
         return []
 
     def admits(self, idempotent):
@@ -185,6 +189,8 @@
     def _count_bad(self, now):
         self._good = 0
         self._bad += 1
+        if self.state is State.DEMOTED and now >= self._next_claim:
+            return self._claim(now)
         if self.state is State.TRIAL and self._bad >= TRIAL_MISSES:
             self.state = State.EJECTED
             self._lengthen_hold(now)
--- /dev/null
+++ b/dandelionarch/core/health.py
@@ -0,0 +1,107 @@
+"""Health of one endpoint: detection and ejection put together."""
+
+from dandelionarch.core.detection import Confirmed, Detector, Purpose
+from dandelionarch.core.ejection import Demote, Eject, Ejection, Restore, State
+from dandelionarch.core.world import Health
+
+
+class EndpointHealth:
+    """Judges one endpoint incarnation.
+
+    Events return the commands that the owner runs: `QueryPeers`, `Claim`,
+    `Release`, and `Demote`, `Eject`, `Restore` after a change of `health`.
+
+    Parameters
+    ----------
+    endpoint_id : str
+    incarnation : int
+    now : float
+        Time in seconds.
+    """
+
+    def __init__(self, endpoint_id, incarnation, now):
+        self.detector = Detector(now)
+        self.ejection = Ejection(endpoint_id, incarnation)
+
+    @property
+    def health(self):
+        """Return the `Health` that replies carry."""
+        return Health(self.ejection.state.value)
+
+    def admits(self, idempotent):
+        """Return True if a request may be let in now."""
+        return self.ejection.admits(idempotent)
+
+    def run_admitted(self, run_id):
+        """Take note of a request that was let in."""
+        self.ejection.run_admitted(run_id)
+
+    def run_started(self, run_id, kind, warm, now):
+        """Take note of a run that got a slot."""
+        self.detector.run_started(run_id, kind, warm, now)
+
+    def run_ended(self, run_id, end, now):
+        """Handle the end of a run, or of a request that never got a slot."""
+        good = self.detector.is_good(run_id, end, now)
+        commands = self.detector.run_ended(run_id, end, now)
+        return self._use(commands, now) + self._changed(
+            self.ejection.run_ended(run_id, good, now)
+        )
+
+    def tick(self, now):
+        """Handle the passing of time; call it about every 0.1 s."""
+        commands = self._use(self.detector.tick(now), now)
+        return commands + self._changed(self.ejection.tick(now))
+
+    def peers_replied(self, query, replies, now):
+        """Handle the replies to `QueryPeers`; peers that declined are left out."""
+        return self._use(self.detector.peers_replied(query, replies, now), now)
+
+    def summary(self, kind, window_s, now):
+        """Return the evidence for a peer, or None unless healthy.
+
+        An endpoint that gets little work, or is known to be bad, would move the
+        median of the peers.
+        """
+        if self.ejection.state is not State.HEALTHY:
+            return None
+        return self.detector.summary(kind, window_s, now)
+
+    def claim_accepted(self, now):
+        """Handle the read-back of the accepted claim."""
+        return self._changed(self.ejection.claim_accepted(now))
+
+    def claim_refused(self, now):
+        """Handle a refused or failed claim."""
+        return self.ejection.claim_refused(now)
+
+    def claim_revoked(self, now):
+        """Handle the loss of the claim."""
+        return self._changed(self.ejection.claim_revoked(now))
+
+    def released(self, now):
+        """Handle the read-back of the release."""
+        return self.ejection.released(now)
+
+    def below_floor(self, now):
+        """Handle a view of live members below the floor."""
+        return self._changed(self.ejection.below_floor(now))
+
+    def _use(self, commands, now):
+        out = []
+        for command in commands:
+            if isinstance(command, Confirmed):
+                score, compared = command.score, command.compared
+                out += self._changed(self.ejection.judged(score, compared, now))
+            elif self._wanted(command):
+                out.append(command)
+        return out
+
+    def _wanted(self, command):
+        healthy = self.ejection.state is State.HEALTHY
+        return healthy or command.purpose is Purpose.BASELINE
+
+    def _changed(self, commands):
+        if any(isinstance(c, Demote | Eject | Restore) for c in commands):
+            self.detector.restart()
+        return commands
--- a/dandelionarch/core/world.py
+++ b/dandelionarch/core/world.py
@@ -37,6 +37,7 @@
     HEALTHY = "healthy"
     DEMOTED = "demoted"
     EJECTED = "ejected"
+    TRIAL = "trial"
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_detection.py
@@ -0,0 +1,157 @@
+"""Detection of gray failures from the runs of one endpoint."""
+
+import math
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from dandelionarch.core.detection import Confirmed, Detector, Purpose, RunEnd
+from dandelionarch.core.evidence import Summary
+
+USUAL_S = 0.1
+HEALTHY = Summary(50, 0, 50, math.log(USUAL_S), 0.4)
+SLOW = Summary(10, 0, 10, math.log(3 * USUAL_S), 0.4)
+FAILING = Summary(20, 10, 10, math.log(USUAL_S), 0.4)
+
+
+class Bench:
+    """A detector with a baseline, fed with one run after another."""
+
+    def __init__(self, peers=(HEALTHY,) * 5):
+        self.now = 0.0
+        self.detector = Detector(0.0)
+        self.peers = peers
+        self.confirmed = []
+        self.suspicions = 0
+        self._ids = 0
+        self.run(USUAL_S)
+        self._handle(self.detector.tick(2.0), (HEALTHY,) * 3)
+        self.now = 2.0
+
+    def run(self, service_s, end=RunEnd.OK, warm=True, kind="k"):
+        """Run one request from its slot to its end."""
+        self._ids += 1
+        run_id = self._ids
+        self.detector.run_started(run_id, kind, warm, self.now)
+        self.wait(service_s)
+        self._handle(self.detector.run_ended(run_id, end, self.now), self.peers)
+
+    def start(self, run_id):
+        """Start a run that does not end."""
+        self.detector.run_started(run_id, "k", True, self.now)
+
+    def wait(self, seconds):
+        """Let time pass in ticks."""
+        until = self.now + seconds
+        while self.now < until:
+            self.now = min(until, self.now + 0.1)
+            self._handle(self.detector.tick(self.now), self.peers)
+
+    def _handle(self, commands, peers):
+        for command in commands:
+            if isinstance(command, Confirmed):
+                self.confirmed.append(command)
+                continue
+            suspicion = command.purpose is Purpose.SUSPICION
+            self.suspicions += suspicion
+            told = peers if suspicion else (HEALTHY,) * 3
+            replies = [dict.fromkeys(command.kinds, summary) for summary in told]
+            following = self.detector.peers_replied(command, replies, self.now)
+            self._handle(following, peers)
+
+
+class TestVerdict:
+    """Alarms become verdicts only if the peers do better."""
+
+    def test_slow_endpoint_among_healthy_peers(self):
+        """Guards the detection of slow service."""
+        bench = Bench()
+        for _ in range(20):
+            bench.run(3 * USUAL_S)
+        assert bench.confirmed[0].compared
+
+    def test_failing_endpoint_among_healthy_peers(self):
+        """Guards the detection of errors at the usual service time."""
+        bench = Bench()
+        for number in range(40):
+            bench.run(USUAL_S, RunEnd.FAILED if number % 3 == 0 else RunEnd.OK)
+        assert bench.confirmed and bench.confirmed[0].score > 2.0
+
+    def test_hang_is_seen_before_any_run_ends(self):
+        """Guards against a test that waits for the end of stuck runs."""
+        bench = Bench()
+        for run_id in ("a", "b", "c"):
+            bench.start(run_id)
+        bench.wait(1.0)
+        assert bench.confirmed
+
+    @pytest.mark.parametrize(
+        ("peer", "end", "factor"),
+        [(SLOW, RunEnd.OK, 3.0), (FAILING, RunEnd.FAILED, 1.0)],
+    )
+    def test_shared_cause_condemns_nobody(self, peer, end, factor):
+        """Guards against an ejection when the peers are as bad."""
+        bench = Bench(peers=(peer,) * 5)
+        for number in range(40):
+            bench.run(factor * USUAL_S, end if number % 2 else RunEnd.OK)
+        assert bench.suspicions > 0
+        assert bench.confirmed == []
+
+    def test_one_sick_peer_does_not_hide_a_slow_endpoint(self):
+        """Guards the use of the median of the peers."""
+        bench = Bench(peers=(SLOW, HEALTHY, HEALTHY, HEALTHY, SLOW))
+        for _ in range(20):
+            bench.run(3 * USUAL_S)
+        assert bench.confirmed
+
+    def test_without_peers_nothing_is_claimed(self):
+        """Guards the rule that a verdict without comparison only demotes."""
+        bench = Bench(peers=())
+        for _ in range(20):
+            bench.run(3 * USUAL_S)
+        assert bench.confirmed
+        assert not any(c.compared for c in bench.confirmed)
+
+
+class TestEvidence:
+    """What does not speak of the endpoint is no evidence."""
+
+    @settings(derandomize=True, deadline=None, max_examples=50)
+    @given(st.integers(0, 1 << 32), st.integers(1, 60))
+    def test_load_alone_raises_no_suspicion(self, seed, refused_percent):
+        """Guards against refusals by the endpoint as evidence."""
+        rng, bench = random.Random(seed), Bench()
+        for _ in range(150):
+            service_s = USUAL_S * math.exp(rng.gauss(0.0, 0.3))
+            if rng.random() * 100 < refused_percent:
+                bench.run(service_s, RunEnd.REFUSED)
+            else:
+                bench.run(service_s)
+        assert bench.confirmed == []
+        assert bench.suspicions == 0
+
+    def test_runs_that_say_nothing_are_not_recorded(self):
+        """Guards against lapsed budgets and refusals that look fast and good."""
+        bench = Bench()
+        for end in (RunEnd.CUT_SHORT, RunEnd.REFUSED):
+            bench.run(USUAL_S / 10, end)
+        assert bench.detector.summary("k", 60.0, bench.now).count == 1
+
+    def test_stragglers_are_capped(self):
+        """Guards against two stragglers that look like a slow endpoint."""
+        bench = Bench()
+        bench.run(30 * USUAL_S)
+        bench.run(30 * USUAL_S)
+        assert bench.suspicions == 0
+
+    def test_cold_runs_say_nothing_of_slowness(self):
+        """Guards against the demotion of endpoints that have just started."""
+        bench = Bench()
+        for _ in range(20):
+            bench.run(5 * USUAL_S, warm=False)
+        assert bench.suspicions == 0
+        for _ in range(20):
+            bench.run(USUAL_S, RunEnd.FAILED, warm=False)
+        assert bench.confirmed
