Add selection stages for health and links, and model detectors

Ejected endpoints are dropped on a hint at most 2 s old; a refusal renews it. Demoted endpoints and those on trial get 2% of a service's requests, so that recovery shows; a share of requests, unlike a rate per ingress, does not grow with the fleet. Demoted ones also take what no healthy endpoint has a slot for. The stage for links replaces 'reachable': bad links are dropped only above the floor share of the service, the least bad stay.

The model gets detectors and an ingress filter (measure/judging.py) and a stand-in of the fleet log that judges claims against a floor.

--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -4,11 +4,20 @@
 decision log line.
 """
 
+import math
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field
 
 from dandelionarch.core.world import EndpointState, Health, VmState
 
+HINT_MAX_AGE_S = 2.0
+# Requests that go to an endpoint that is not healthy, so that its recovery shows.
+# A share of requests, not a rate per ingress, which would grow with the fleet.
+TRIAL_SHARE = 0.02
+# All slots of the healthy endpoints taken, as far as the ingress knows.
+FULL_LOAD = 1.0
+DEFAULT_FLOOR_SHARE = 0.5
+
 
 @dataclass(slots=True)
 class Candidate:
@@ -21,6 +30,8 @@
     reported: int = 0
     warmup: float = 1.0
     health: Health = Health.HEALTHY
+    health_age_s: float = 0.0
+    link_faults: int = 0
 
     @property
     def load(self):
@@ -60,24 +71,66 @@
             yield cand
 
 
-def reachable(candidates, drops):
-    """Keep endpoints whose link is up."""
+def not_tried(candidates, drops, tried):
+    """Keep endpoints that this request has not tried."""
     for cand in candidates:
-        if cand.link_up:
+        if cand.endpoint.endpoint_id in tried:
+            drops.append(Drop(cand.endpoint.endpoint_id, "tried", "tried before"))
+        else:
+            yield cand
+
+
+def links_within_floor(candidates, drops, floor_share):
+    """Drop endpoints with a bad link, but keep the floor share of the service.
+
+    A link fault says nothing about the endpoint; the least bad links stay, as one
+    ingress with a bad network must not take the rest of the service away.
+    """
+    cands = list(candidates)
+    least = math.ceil(floor_share * len(cands))
+    bad = sorted((c for c in cands if not c.link_up), key=lambda c: c.link_faults)
+    stay = {id(c) for c in bad[: max(0, least - (len(cands) - len(bad)))]}
+    for cand in cands:
+        if cand.link_up or id(cand) in stay:
             yield cand
         else:
-            drops.append(Drop(cand.endpoint.endpoint_id, "reachable", "link down"))
+            drops.append(Drop(cand.endpoint.endpoint_id, "link", "link down"))
 
 
-def not_tried(candidates, drops, tried):
-    """Keep endpoints that this request has not tried."""
+def not_ejected(candidates, drops):
+    """Drop ejected endpoints while the hint is fresh; a refusal renews it."""
     for cand in candidates:
-        if cand.endpoint.endpoint_id in tried:
-            drops.append(Drop(cand.endpoint.endpoint_id, "tried", "tried before"))
+        if cand.health is Health.EJECTED and cand.health_age_s <= HINT_MAX_AGE_S:
+            drops.append(Drop(cand.endpoint.endpoint_id, "ejected", "hint"))
         else:
             yield cand
 
 
+def healthy_first(candidates, drops, rng):
+    """Prefer healthy endpoints; demoted ones take what these have no slot for.
+
+    A small share of requests goes to one demoted endpoint or one on trial.
+    """
+    cands = list(candidates)
+    weak = [c for c in cands if c.health in (Health.DEMOTED, Health.TRIAL)]
+    fit = [c for c in cands if c.health not in (Health.DEMOTED, Health.TRIAL)]
+    demoted = [c for c in weak if c.health is Health.DEMOTED]
+    if not weak:
+        kept = fit
+    elif rng.random() < TRIAL_SHARE:
+        kept = [rng.choice(weak)]
+    elif any(c.load < FULL_LOAD for c in fit):
+        kept = fit
+    else:
+        kept = fit + demoted or weak
+    ids = {id(c) for c in kept}
+    for cand in cands:
+        if id(cand) in ids:
+            yield cand
+        else:
+            drops.append(Drop(cand.endpoint.endpoint_id, "health", cand.health.value))
+
+
 class Policy(ABC):
     """A way to choose among candidates that may take the request."""
 
@@ -96,13 +149,15 @@
         return one if one.load <= two.load else two
 
 
-def select(candidates, policy, rng, tried=frozenset()):
+def select(candidates, policy, rng, tried=frozenset(), floor_share=DEFAULT_FLOOR_SHARE):
     """Run the pipeline and return the `Decision`."""
     decision = Decision()
     decision.candidates = [c.endpoint.endpoint_id for c in candidates]
     stream = serving(candidates, decision.drops)
-    stream = reachable(stream, decision.drops)
+    stream = links_within_floor(stream, decision.drops, floor_share)
     stream = not_tried(stream, decision.drops, tried)
+    stream = not_ejected(stream, decision.drops)
+    stream = healthy_first(stream, decision.drops, rng)
     kept = list(stream)
     if kept:
         decision.chosen = policy.choose(kept, rng)
--- /dev/null
+++ b/dandelionarch/measure/judging.py
@@ -0,0 +1,190 @@
+"""Detectors and ingress filters that the model can be given."""
+
+from dandelionarch.core.detection import QueryPeers, RunEnd
+from dandelionarch.core.ejection import Claim, Eject, Release
+from dandelionarch.core.health import EndpointHealth
+from dandelionarch.core.lists import Floor
+from dandelionarch.core.outcome import Reason
+from dandelionarch.core.world import Health
+from dandelionarch.measure.options import NoDetector, OpenFilter
+
+TICK_S = 0.1
+QUERY_TIMEOUT_S = 0.5
+FIXED_COUNT = 5
+FIXED_HOLD_S = 30.0
+DEFAULT_FLOOR = Floor(50, "percent")
+
+
+class FleetLog:
+    """Stand-in for the fleet stream and its fold of ejection claims.
+
+    A record takes effect `delay_s` after it was appended, and its writer reads it
+    back after as much again. While `available` is False nothing is appended.
+    """
+
+    def __init__(self, timers, announced, floor=DEFAULT_FLOOR, delay_s=0.05):
+        self.available = True
+        self.claimed = set()
+        self.refused = 0
+        self._timers = timers
+        self._announced = announced
+        self._floor = floor.count(announced)
+        self._delay_s = delay_s
+
+    def claim(self, endpoint_id, callback):
+        """Append a claim; call `callback(accepted)` when it has been read back."""
+        self._later(lambda: self._fold_claim(endpoint_id, callback))
+
+    def release(self, endpoint_id, callback):
+        """Append a release; call `callback()` when it has been read back."""
+        self._later(lambda: self._fold_release(endpoint_id, callback))
+
+    def _fold_claim(self, endpoint_id, callback):
+        if not self.available:
+            callback(False)
+            return
+        left = self._announced - len(self.claimed) - 1
+        accepted = endpoint_id in self.claimed or left >= self._floor
+        if accepted:
+            self.claimed.add(endpoint_id)
+        else:
+            self.refused += 1
+        self._later(lambda: callback(accepted))
+
+    def _fold_release(self, endpoint_id, callback):
+        if not self.available:
+            self._later(lambda: self._fold_release(endpoint_id, callback))
+            return
+        self.claimed.discard(endpoint_id)
+        self._later(callback)
+
+    def _later(self, callback):
+        self._timers.subscribe(self._delay_s, callback)
+
+
+class AgentHealth(NoDetector):
+    """`EndpointHealth` on the model's network and the stand-in of the log.
+
+    `history` lists (time in seconds, `Health`) at each change.
+    """
+
+    def __init__(self, agent):
+        super().__init__(agent)
+        self.timers = agent.model.timers
+        endpoint = agent.endpoint
+        self.state = EndpointHealth(endpoint.endpoint_id, 1, self.timers.now())
+        self.history = []
+        self.timers.subscribe_every(TICK_S, self._tick)
+
+    @property
+    def health(self):
+        """Return the state that replies carry."""
+        return self.state.health
+
+    def refusal(self, attempt, now):
+        """Refuse work while ejected, and all but one run on trial."""
+        if not self.state.admits(attempt.work.idempotent):
+            return Reason.EJECTED
+        self.state.run_admitted(id(attempt))
+        return None
+
+    def started(self, attempt, now):
+        """Begin to collect evidence."""
+        warm = self.agent.worker.warmup(now) >= 1.0
+        self.state.run_started(id(attempt), attempt.work.kind, warm, now)
+
+    def finished(self, attempt, service_s, reason, now):
+        """Hand the end of a run to the state machine."""
+        ends = {
+            None: RunEnd.OK,
+            Reason.DEADLINE: RunEnd.CUT_SHORT,
+            Reason.CANCELLED: RunEnd.CUT_SHORT,
+            Reason.QUEUE_FULL: RunEnd.REFUSED,
+            Reason.TOO_LATE: RunEnd.REFUSED,
+        }
+        end = ends.get(reason, RunEnd.FAILED)
+        self._run(self.state.run_ended(id(attempt), end, now))
+
+    def summaries(self, query):
+        """Return the evidence for a peer, or None."""
+        now = self.timers.now()
+        told = {k: self.state.summary(k, query.window_s, now) for k in query.kinds}
+        return None if None in told.values() else told
+
+    def _tick(self):
+        self._run(self.state.tick(self.timers.now()))
+
+    def _run(self, commands):
+        for command in commands:
+            self._run_one(command)
+        now, health = self.timers.now(), self.state.health
+        before = self.history[-1][1] if self.history else Health.HEALTHY
+        if before is not health:
+            self.history.append((now, health))
+
+    def _run_one(self, command):
+        log, now = self.agent.model.log, self.timers.now
+        endpoint_id = self.agent.endpoint.endpoint_id
+        if isinstance(command, QueryPeers):
+            self._query(command)
+        elif isinstance(command, Claim):
+            log.claim(endpoint_id, self._claimed)
+        elif isinstance(command, Release):
+            log.release(endpoint_id, lambda: self._run(self.state.released(now())))
+        elif isinstance(command, Eject):
+            self.agent.refuse_queued(Reason.EJECTED)
+
+    def _claimed(self, accepted):
+        now = self.timers.now()
+        handle = self.state.claim_accepted if accepted else self.state.claim_refused
+        self._run(handle(now))
+
+    def _query(self, query):
+        model, agent = self.agent.model, self.agent
+        others = [a for a in model.agents if a is not agent]
+        peers = model.rng.sample(others, min(query.count, len(others)))
+        replies = []
+        done = []
+
+        def finish():
+            if not done:
+                done.append(True)
+                told = [r for r in replies if r is not None]
+                self._run(self.state.peers_replied(query, told, self.timers.now()))
+
+        def reply(told):
+            replies.append(told)
+            if len(replies) == len(peers):
+                finish()
+
+        def ask(peer):
+            told = peer.detector.summaries(query)
+            model.network.send(peer.vm_id, agent.vm_id, reply, told)
+
+        for peer in peers:
+            model.network.send(agent.vm_id, peer.vm_id, ask, peer)
+        self.timers.subscribe(QUERY_TIMEOUT_S, finish)
+
+
+class FixedCount(OpenFilter):
+    """Baseline: an ingress ejects for 30 s after 5 failures in a row.
+
+    Refusals and deadlines count as failures, as they do for a proxy that sees
+    only status codes.
+    """
+
+    def __init__(self):
+        self._failures = {}
+        self._until = {}
+
+    def keeps(self, endpoint_id, now):
+        """Return False while the endpoint is ejected."""
+        return now >= self._until.get(endpoint_id, 0.0)
+
+    def ended(self, endpoint_id, reason, now):
+        """Count failures in a row."""
+        count = 0 if reason is None else self._failures.get(endpoint_id, 0) + 1
+        if count >= FIXED_COUNT:
+            self._until[endpoint_id] = now + FIXED_HOLD_S
+            count = 0
+        self._failures[endpoint_id] = count
--- a/dandelionarch/measure/model.py
+++ b/dandelionarch/measure/model.py
@@ -58,6 +58,7 @@
         self.endpoint = endpoint
         self.worker = worker
         self.queue = options.make_queue(worker)
+        self.waiting = {}
         self.starts = []
         self.detector = options.make_detector(self)
 
@@ -83,33 +84,50 @@
             return
         verdict = self.queue.offer(attempt)
         if verdict == "refuse":
-            self._reply(attempt, Reason.QUEUE_FULL, refused=True)
+            self._refuse(attempt, Reason.QUEUE_FULL)
         elif verdict == "run":
             self._start(attempt)
         else:
+            self.waiting[attempt] = True
             attempt.timer = self.model.timers.subscribe(
                 max(0.0, attempt.deadline - now), lambda: self._too_late(attempt)
             )
 
     def on_cancel(self, attempt):
         """Stop an attempt that its ingress has given up."""
+        now = self.model.timers.now()
         if attempt.ended:
             return
         if attempt.started_s is None:
             attempt.timer.cancel()
             self.queue.withdraw(attempt)
+            self.waiting.pop(attempt, None)
+            self.detector.finished(attempt, 0.0, Reason.CANCELLED, now)
             attempt.ended = True
         else:
             self._finish(attempt, Reason.CANCELLED)
 
+    def refuse_queued(self, reason):
+        """Refuse all attempts that wait."""
+        for attempt in list(self.waiting):
+            attempt.timer.cancel()
+            self.queue.withdraw(attempt)
+            self._refuse(attempt, reason)
+
     def _too_late(self, attempt):
         self.queue.withdraw(attempt)
-        self._reply(attempt, Reason.TOO_LATE, refused=True)
+        self._refuse(attempt, Reason.TOO_LATE)
+
+    def _refuse(self, attempt, reason):
+        self.waiting.pop(attempt, None)
+        self.detector.finished(attempt, 0.0, reason, self.model.timers.now())
+        self._reply(attempt, reason, refused=True)
 
     def _start(self, attempt):
         now = self.model.timers.now()
         if attempt.timer is not None:
             attempt.timer.cancel()
+        self.waiting.pop(attempt, None)
         attempt.started_s = now
         self.starts.append(now)
         self.detector.started(attempt, now)
@@ -125,9 +143,8 @@
     def _finish(self, attempt, reason):
         now = self.model.timers.now()
         attempt.timer.cancel()
+        self.detector.finished(attempt, now - attempt.started_s, reason, now)
         if reason is not Reason.CANCELLED:
-            service_s = now - attempt.started_s
-            self.detector.finished(attempt, service_s, reason is None, now)
             self._reply(attempt, reason, refused=False)
         attempt.ended = True
         following = self.queue.finish()
@@ -216,6 +233,7 @@
     def _add_report(self, cand, load, age_s):
         cand.warmup = load.warmup
         cand.health = Health(load.health)
+        cand.health_age_s = age_s
         cand.reported = max(0, load.running + load.queued - cand.in_flight)
 
     def _follow(self, command, life, kind, began_s):
@@ -318,6 +336,7 @@
         self.options = options
         self.timers = TimerService()
         self.network = Network(self.timers)
+        self.log = options.make_log(self.timers, options.workers)
         self.rng = random.Random(options.seed)
         self.request_ids = itertools.count(1)
         self.results = []
--- a/dandelionarch/measure/options.py
+++ b/dandelionarch/measure/options.py
@@ -50,8 +50,11 @@
     def started(self, attempt, now):
         """Take note of an attempt that got a slot."""
 
-    def finished(self, attempt, service_s, ok, now):
-        """Take note of an attempt that left its slot; `service_s` has no queueing."""
+    def finished(self, attempt, service_s, reason, now):
+        """Take note of the end of an attempt that was not refused at its arrival.
+
+        `service_s` has no queueing; `reason` is None for a success.
+        """
 
 
 class OpenFilter:
@@ -97,6 +100,7 @@
         worker.slots, worker.slots * QUEUE_PER_SLOT
     )
     make_detector: Callable = NoDetector
+    make_log: Callable = lambda timers, announced: None
     make_filter: Callable = OpenFilter
     make_retries: Callable = FreeRetries
     admit: Callable = lambda ingress, work, now: None
@@ -104,7 +108,7 @@
     worker_options: dict = field(default_factory=dict)
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt of a request, known to its ingress and its agent."""
 
--- /dev/null
+++ b/tests/test_selection_health.py
@@ -0,0 +1,90 @@
+"""Selection stages for health and links."""
+
+import random
+from types import SimpleNamespace
+
+from dandelionarch.core.selection import (
+    HINT_MAX_AGE_S,
+    TRIAL_SHARE,
+    Candidate,
+    TwoChoices,
+    select,
+)
+from dandelionarch.core.world import EndpointState, Health, VmState
+
+
+def candidates(count):
+    """Return healthy candidates with free slots."""
+    vm = SimpleNamespace(state=VmState.ALIVE)
+    return [
+        Candidate(
+            SimpleNamespace(endpoint_id=f"w{n}", slots=3, state=EndpointState.READY), vm
+        )
+        for n in range(count)
+    ]
+
+
+def chosen(cands, times=2000, seed=1):
+    """Return how often each endpoint is chosen, and the last decision."""
+    rng, counts = random.Random(seed), dict.fromkeys(range(len(cands)), 0)
+    for _ in range(times):
+        decision = select(cands, TwoChoices(), rng)
+        counts[cands.index(decision.chosen)] += 1
+    return counts, decision
+
+
+class TestHealthStages:
+    """Demoted endpoints come last, ejected ones are dropped on a fresh hint."""
+
+    def test_ejected_is_dropped_until_the_hint_is_old(self):
+        """Guards against a hint that keeps an endpoint out for ever."""
+        cands = candidates(3)
+        cands[0].health = Health.EJECTED
+        counts, decision = chosen(cands)
+        assert counts[0] == 0
+        assert ("w0", "ejected") in [(d.endpoint_id, d.stage) for d in decision.drops]
+        cands[0].health_age_s = HINT_MAX_AGE_S + 0.1
+        assert chosen(cands)[0][0] > 0
+
+    def test_weak_endpoints_get_only_the_trial_share(self):
+        """Guards both the protection of callers and the way back to health."""
+        for health in (Health.DEMOTED, Health.TRIAL):
+            cands = candidates(4)
+            cands[0].health = health
+            counts, _ = chosen(cands, times=10_000)
+            assert 0.5 * TRIAL_SHARE < counts[0] / 10_000 < 2 * TRIAL_SHARE
+
+    def test_demoted_takes_what_no_other_has_a_slot_for(self):
+        """Guards capacity: demotion must not refuse work that could be run."""
+        cands = candidates(3)
+        cands[0].health = Health.DEMOTED
+        cands[1].in_flight = cands[2].in_flight = 3
+        assert chosen(cands)[0][0] > 500
+
+    def test_all_demoted_still_serve(self):
+        """Guards against a service without any candidate."""
+        cands = candidates(3)
+        for cand in cands:
+            cand.health = Health.DEMOTED
+        assert min(chosen(cands)[0].values()) > 0
+
+
+class TestLinkStage:
+    """Bad links never take the floor share of a service away."""
+
+    def test_bad_links_are_dropped_above_the_floor(self):
+        """Guards the exclusion of a link that is down."""
+        cands = candidates(4)
+        cands[0].link_up = False
+        counts, decision = chosen(cands)
+        assert counts[0] == 0
+        assert [(d.endpoint_id, d.stage) for d in decision.drops] == [("w0", "link")]
+
+    def test_least_bad_links_stay_at_the_floor(self):
+        """Guards against one ingress with a bad network that drops everything."""
+        cands = candidates(4)
+        for number, cand in enumerate(cands[:3]):
+            cand.link_up, cand.link_faults = False, 3 - number
+        counts, decision = chosen(cands)
+        assert [n for n, count in counts.items() if count] == [2, 3]
+        assert {d.endpoint_id for d in decision.drops} == {"w0", "w1"}
