--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -10,6 +10,13 @@
 
 from dandelionarch.core.world import EndpointState, Health, VmState
 
+HINT_MAX_AGE_S = 2.0
+# Requests that go to an endpoint that is not healthy, so that its recovery shows.
+# A share of requests, not a rate per ingress, which would grow with the fleet.
+TRIAL_SHARE = 0.02
+# All slots of the healthy endpoints taken, as far as the ingress knows.
+FULL_LOAD = 1.0
+DEFAULT_FLOOR_SHARE = 0.5
 # A report says little about the load after this time: most work has changed.
 REPORT_AGE_S = 0.5
 FRESH_REPORT_S = 0.1
@@ -41,6 +48,8 @@
     reported: float = 0
     warmup: float = 1.0
     health: Health = Health.HEALTHY
+    health_age_s: float = 0.0
+    link_faults: int = 0
     age_s: float = math.inf
     near: bool = True
 
@@ -90,15 +99,6 @@
             yield cand
 
 
-def reachable(candidates, drops):
-    """Keep endpoints whose link is up."""
-    for cand in candidates:
-        if cand.link_up:
-            yield cand
-        else:
-            drops.append(Drop(cand.endpoint.endpoint_id, "reachable", "link down"))
-
-
 def not_tried(candidates, drops, tried):
     """Keep endpoints that this request has not tried."""
     for cand in candidates:
@@ -133,6 +133,32 @@
             yield cand
 
 
+def links_within_floor(candidates, drops, floor_share):
+    """Drop endpoints with a bad link, but keep the floor share of the service.
+
+    A link fault says nothing about the endpoint; the least bad links stay, as one
+    ingress with a bad network must not take the rest of the service away.
+    """
+    cands = list(candidates)
+    least = math.ceil(floor_share * len(cands))
+    bad = sorted((c for c in cands if not c.link_up), key=lambda c: c.link_faults)
+    stay = {id(c) for c in bad[: max(0, least - (len(cands) - len(bad)))]}
+    for cand in cands:
+        if cand.link_up or id(cand) in stay:
+            yield cand
+        else:
+            drops.append(Drop(cand.endpoint.endpoint_id, "link", "link down"))
+
+
+def not_ejected(candidates, drops):
+    """Drop ejected endpoints while the hint is fresh; a refusal renews it."""
+    for cand in candidates:
+        if cand.health is Health.EJECTED and cand.health_age_s <= HINT_MAX_AGE_S:
+            drops.append(Drop(cand.endpoint.endpoint_id, "ejected", "hint"))
+        else:
+            yield cand
+
+
 def near_first(candidates, drops):
     """Keep the own data centre until its load exceeds the others' by the margin."""
     kept = list(candidates)
@@ -150,6 +176,31 @@
     return sum(values) / len(values)
 
 
+def healthy_first(candidates, drops, rng):
+    """Prefer healthy endpoints; demoted ones take what these have no slot for.
+
+    A small share of requests goes to one demoted endpoint or one on trial.
+    """
+    cands = list(candidates)
+    weak = [c for c in cands if c.health in (Health.DEMOTED, Health.TRIAL)]
+    fit = [c for c in cands if c.health not in (Health.DEMOTED, Health.TRIAL)]
+    demoted = [c for c in weak if c.health is Health.DEMOTED]
+    if not weak:
+        kept = fit
+    elif rng.random() < TRIAL_SHARE:
+        kept = [rng.choice(weak)]
+    elif any(c.load < FULL_LOAD for c in fit):
+        kept = fit
+    else:
+        kept = fit + demoted or weak
+    ids = {id(c) for c in kept}
+    for cand in cands:
+        if id(cand) in ids:
+            yield cand
+        else:
+            drops.append(Drop(cand.endpoint.endpoint_id, "health", cand.health.value))
+
+
 class Policy(ABC):
     """A way to choose among candidates that may take the request."""
 
@@ -195,16 +246,32 @@
         return one if one.load <= two.load else two
 
 
-def select(candidates, policy, rng, tried=frozenset()):
-    """Run the pipeline and return the `Decision`."""
+def select(
+    candidates,
+    policy,
+    rng,
+    tried=frozenset(),
+    floor_share=DEFAULT_FLOOR_SHARE,
+    skip=frozenset(),
+):
+    """Run the pipeline and return the `Decision`.
+
+    `skip` names stages that a measurement switches off.
+    """
     decision = Decision()
+    drops = decision.drops
     decision.candidates = [c.endpoint.endpoint_id for c in candidates]
-    stream = serving(candidates, decision.drops)
-    stream = reachable(stream, decision.drops)
-    stream = list(not_tried(stream, decision.drops, tried))
-    age_reports(stream)
-    stream = not_full(stream, decision.drops)
-    stream = near_first(stream, decision.drops)
+    stream = serving(candidates, drops)
+    stream = links_within_floor(stream, drops, floor_share)
+    stream = list(not_tried(stream, drops, tried))
+    if "age_reports" not in skip:
+        age_reports(stream)
+    stream = not_ejected(stream, drops)
+    if "not_full" not in skip:
+        stream = not_full(stream, drops)
+    stream = healthy_first(stream, drops, rng)
+    if "near_first" not in skip:
+        stream = near_first(stream, drops)
     kept = list(stream)
     if kept:
         decision.chosen = policy.choose(kept, rng)
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -162,6 +162,7 @@
         cand.reported = others
         cand.warmup = load.warmup
         cand.health = Health(load.health)
+        cand.health_age_s = cand.age_s
 
     async def _attempt(self, life, work, req, command):
         loop = asyncio.get_running_loop()
