--- /dev/null
+++ b/dandelionarch/measure/blocking.py
@@ -0,0 +1,237 @@
+"""Head-of-line blocking: what short work waits behind long work.
+
+Eight workers with three slots in four data centres serve 95% short and 5% long
+work. Every row runs the same arrivals on the same workers.
+"""
+
+import argparse
+import functools
+import random
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+
+from dandelionarch.core import selection
+from dandelionarch.core.admission import CostQueue, QueueRules, SlotQueue
+from dandelionarch.core.outcome import Outcome
+from dandelionarch.core.retries import RetryBudget
+from dandelionarch.measure.model import Model
+from dandelionarch.measure.options import QUEUE_PER_SLOT, NoDetector, Options, steady
+from dandelionarch.measure.workers import Kind, Worker
+
+NAME = "blocking"
+HELP = "wait of short work behind long work"
+
+SHORT = Kind("short", 0.010, share=0.95, budget_s=1.0)
+LONG = Kind("long", 0.400, share=0.05, budget_s=10.0, priority=1)
+WORKERS, SLOTS = 8, 3
+LOADS = (0.5, 0.8, 0.95)
+# The costs and loads are learnt in this time; it is not counted.
+WARM_UP_S = 10.0
+PROCESSES = 5
+
+
+class WaitRecorder(NoDetector):
+    """Notes how long each request took from its ingress to a slot, in seconds."""
+
+    def __init__(self, agent):
+        super().__init__(agent)
+        self.waits = []
+
+    def started(self, attempt, now):
+        began_s = attempt.deadline - attempt.kind.budget_s
+        if began_s >= WARM_UP_S:
+            self.waits.append((attempt.kind.name, now - began_s))
+
+
+def mean_service_s(kinds, draws=20_000):
+    """Return the mean slot time in seconds of a request of these kinds."""
+    worker, rng = Worker("w", SLOTS, random.Random(1)), random.Random(2)
+    shares = [k.share for k in kinds]
+    total = 0.0
+    for kind in rng.choices(kinds, shares, k=draws):
+        total += min(kind.budget_s, worker.run(kind, 0.0)[0])
+    return total / draws
+
+
+def fifo(worker):
+    """Return the baseline's queue."""
+    return SlotQueue(worker.slots, worker.slots * QUEUE_PER_SLOT)
+
+
+def long_fifo(worker):
+    """Return a first-in first-out queue that holds work until its deadline."""
+    return SlotQueue(worker.slots, 10_000)
+
+
+def cost_queue(worker, **off):
+    """Return the agent's queue, with rules switched off by name."""
+    return CostQueue(worker.slots, rules=QueueRules(**off))
+
+
+def without(rule):
+    """Return options whose queue lacks one rule."""
+    return {"make_queue": functools.partial(cost_queue, **{rule: False})}
+
+
+def skipping(stage):
+    """Return options whose selection lacks one stage."""
+    skip = frozenset({stage})
+    return {"select": functools.partial(selection.select, skip=skip)}
+
+
+PLAIN = {
+    "select": functools.partial(
+        selection.select, skip=frozenset({"age_reports", "not_full", "near_first"})
+    ),
+    "make_queue": fifo,
+}
+ROWS = {
+    "random, FIFO": {**PLAIN, "make_policy": selection.RandomChoice},
+    "round robin, FIFO": {**PLAIN, "make_policy": selection.RoundRobin},
+    "plain two choices, FIFO": {**PLAIN, "make_policy": selection.PlainTwoChoices},
+    "two choices, FIFO": {"make_queue": fifo},
+    "two choices, unbounded FIFO": {"make_queue": long_fifo},
+    "random, cost queue": {**PLAIN, "make_policy": selection.RandomChoice},
+    "plain two choices, cost queue": {
+        **PLAIN,
+        "make_policy": selection.PlainTwoChoices,
+    },
+    "all rules": {},
+    "no shortest first": without("shortest_first"),
+    "no slot closed to long work": without("short_slot"),
+    "no ageing": without("ageing"),
+    "no refusal of late work": without("refuse_late"),
+    "no ageing of reports": skipping("age_reports"),
+    "no stage for full endpoints": skipping("not_full"),
+    "no preference for near ones": skipping("near_first"),
+}
+for name in ("random, cost queue", "plain two choices, cost queue"):
+    ROWS[name]["make_queue"] = cost_queue
+
+
+def base_options(load, seed, **changes):
+    """Return the options of a run at a share of the capacity."""
+    kinds = (SHORT, LONG)
+    capacity = WORKERS * SLOTS / mean_service_s(kinds)
+    options = Options(
+        workers=WORKERS,
+        slots=SLOTS,
+        kinds=kinds,
+        rate=steady(load * capacity),
+        seed=seed,
+        make_queue=cost_queue,
+        make_retries=RetryBudget,
+        make_detector=WaitRecorder,
+    )
+    return replace(options, **changes)
+
+
+def percentile_ms(values, share):
+    """Return a percentile of sorted values in milliseconds; nan if there are none."""
+    if not values:
+        return float("nan")
+    return 1000 * values[min(len(values) - 1, int(share * len(values)))]
+
+
+def measure(options, seconds):
+    """Run the options; return (waits by kind, refused or late share by kind)."""
+    model = Model(options)
+    results = [r for r in model.run(seconds) if r.started_s >= WARM_UP_S]
+    waits, missed = {}, {}
+    for kind in options.kinds:
+        waits[kind.name] = sorted(
+            wait
+            for agent in model.agents
+            for name, wait in agent.detector.waits
+            if name == kind.name
+        )
+        mine = [r for r in results if r.kind == kind.name]
+        bad = sum(r.outcome is not Outcome.ANSWER for r in mine)
+        missed[kind.name] = bad / max(1, len(mine))
+    return waits, missed
+
+
+def own_slots(load, seed, seconds):
+    """Run the bound: one slot per worker for short work, two for long work."""
+    base = base_options(load, seed)
+    waits, missed = {}, {}
+    for kind, slots in ((SHORT, 1), (LONG, 2)):
+        rate = base.rate.peak * kind.share
+        options = replace(base, kinds=(kind,), slots=slots, rate=steady(rate))
+        more = measure(options, seconds)
+        waits.update(more[0])
+        missed.update(more[1])
+    return waits, missed
+
+
+def short_alone(load, seed, seconds):
+    """Run the bound: the same short work with no long work at all."""
+    base = base_options(load, seed)
+    rate = base.rate.peak * SHORT.share
+    waits, missed = measure(
+        replace(base, kinds=(SHORT,), rate=steady(rate)), seconds
+    )
+    return {**waits, "long": []}, {**missed, "long": float("nan")}
+
+
+BOUNDS = {
+    "own slots (1 short, 2 long)": own_slots,
+    "short work alone": short_alone,
+}
+
+
+def row(task):
+    """Return one line of the table."""
+    name, load, seed, seconds = task
+    if name in BOUNDS:
+        waits, missed = BOUNDS[name](load, seed, seconds)
+    else:
+        waits, missed = measure(base_options(load, seed, **ROWS[name]), seconds)
+    cells = [name, f"{load:.0%}"]
+    for kind, shares in (("short", (0.5, 0.99, 0.999)), ("long", (0.5, 0.99))):
+        cells += [f"{percentile_ms(waits[kind], share):.1f}" for share in shares]
+        cells.append(f"{missed[kind]:.2%}")
+    return cells
+
+
+HEADER = (
+    "policy",
+    "load",
+    "short p50 ms",
+    "p99",
+    "p99.9",
+    "short not answered",
+    "long p50 ms",
+    "p99",
+    "long not answered",
+)
+
+
+def print_table(header, rows):
+    """Print rows as a Markdown table."""
+    print("| " + " | ".join(header) + " |")
+    print("|" + "---|" * len(header))
+    for cells in rows:
+        print("| " + " | ".join(cells) + " |", flush=True)
+
+
+def add_arguments(parser):
+    """Add the options of the measurement."""
+    parser.add_argument("--seconds", type=float, default=130.0, help="virtual time")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--rows", default="", help="part of the rows' names")
+
+
+def main(args=None):
+    """Print a row per policy and load."""
+    parser = argparse.ArgumentParser(description=HELP)
+    add_arguments(parser)
+    args = parser.parse_args(args)
+    names = [n for n in (*ROWS, *BOUNDS) if args.rows in n]
+    tasks = [(n, load, args.seed, args.seconds) for load in LOADS for n in names]
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        print_table(HEADER, pool.map(row, tasks))
+
+
+if __name__ == "__main__":
+    main()
