--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -4,6 +4,7 @@
 import contextlib
 import dataclasses
 import logging
+import random
 import time
 
 from dandelionarch.core.checkpoints import Retention
@@ -18,6 +19,7 @@
 from dandelionarch.daemon.gossip import DirectoryExchange
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp, IngressProtocol
+from dandelionarch.daemon.limits import Limits
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.logclient import LogClient
 from dandelionarch.daemon.order_home import OrderHomes
@@ -105,8 +107,15 @@
         self.metrics = Metrics(
             settings.statsd.host, settings.statsd.port, settings.statsd.prefix
         )
+        self.limits = Limits(self.network, self.directory, self.active, random.Random())
+        self.ingress.on_load = self.limits.load_told
         self.http = IngressHttp(
-            self.ingress, self.orders, self.active, settings.limits, self.metrics
+            self.ingress,
+            self.orders,
+            self.limits,
+            self.active,
+            settings.limits,
+            self.metrics,
         )
         self.admin = Admin(self)
         self.exchange = DirectoryExchange(
@@ -154,6 +163,7 @@
             self.streams.run(),
             self.exchange.run(),
             self.order_homes.run(),
+            self.limits.run(),
         ):
             self._tasks.append(asyncio.create_task(coro))
 
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -40,6 +40,7 @@
         self._loads = {}
         self._refusals = RefusalMemory()
         self.decisions = {}
+        self.on_load = lambda load: None
         for cls in (msgs.ResponseHead, msgs.ResponseChunk, msgs.Refusal, msgs.Failure):
             network.subscribe(cls, self._on_reply)
         network.subscribe(
@@ -117,6 +118,7 @@
             cand.reported = others
             cand.warmup = load.warmup
             cand.health = Health(load.health)
+            cand.health_age_s = cand.age_s
         if self._refusals.holds(cand.endpoint.endpoint_id, now):
             # Whatever its reports say, it has no slot for this ingress.
             cand.age_s, cand.reported = 0.0, cand.endpoint.slots
@@ -247,6 +249,7 @@
             others = max(0, load.running + load.queued - own)
             now = asyncio.get_running_loop().time()
             self._loads[load.endpoint_id] = (now, load, others)
+            self.on_load(load)
         if isinstance(msg, msgs.Refusal):
             now = asyncio.get_running_loop().time()
             self._refusals.refused(stream.endpoint_id, now)
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -47,7 +47,11 @@
     (Outcome.UNKNOWN, Reason.DEADLINE): 504,
     (Outcome.NOT_RUN, Reason.KEY_REUSED): 422,
     (Outcome.UNKNOWN, Reason.ORDER_IN_PROGRESS): 409,
+    (Outcome.NOT_RUN, Reason.OVER_LIMIT): 429,
+    (Outcome.UNKNOWN, Reason.OVER_LIMIT): 429,
+    (Outcome.UNKNOWN, Reason.SHED): 503,
 }
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 METHODS = ["GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS"]
 HEADER_TIMEOUT_S = 10
 LINGER_S = 1.0
@@ -107,6 +111,8 @@
         Runs the requests.
     orders : OrderGate
         Lets an order with an idempotency key pass at most once.
+    customer_limits : Limits
+        Admits requests within the customers' limits and sheds load.
     state : object
         Has `keys`, `routes` and `lists` of the accepted configuration, or None.
     limits : LimitsSection
@@ -114,9 +120,10 @@
     metrics : Metrics
     """
 
-    def __init__(self, ingress, orders, state, limits, metrics=None):
+    def __init__(self, ingress, orders, customer_limits, state, limits, metrics=None):
         self._ingress = ingress
         self._orders = orders
+        self._customer_limits = customer_limits
         self._state = state
         self._limits = limits
         self._metrics = metrics or Metrics()
@@ -175,11 +182,11 @@
 
     async def _handle(self, request, path=""):
         if self.in_flight >= self._limits.max_in_flight:
-            return self._turn_away(Reason.IN_FLIGHT_LIMIT)
+            return self._turn_away(request, Reason.IN_FLIGHT_LIMIT)
         if self.stopping:
-            return self._turn_away(Reason.STOPPING)
+            return self._turn_away(request, Reason.STOPPING)
         if self._state.lists is None:
-            return self._turn_away(Reason.NOT_READY)
+            return self._turn_away(request, Reason.NOT_READY)
         self.in_flight += 1
         self._metrics.gauge("in_flight", self.in_flight)
         try:
@@ -190,12 +197,13 @@
     # Keeps sanic from reading the body; a bound method takes no attributes.
     _handle.is_stream = True
 
-    def _turn_away(self, reason):
+    def _turn_away(self, request, reason):
         request_id = uuid.uuid4().hex
         event(log, "refused", logging.WARNING, request=request_id, reason=reason.value)
         self._metrics.incr(f"refused.{reason.value}")
         retry_after_s = RETRY_AFTER_MIN_S + self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
-        return problem(503, reason.value, request_id, retry_after_s=retry_after_s)
+        outcome = _unchecked_outcome(request, request.method in SAFE_METHODS)
+        return problem(503, reason.value, request_id, outcome, retry_after_s)
 
     async def _serve(self, request):
         request_id = uuid.uuid4().hex
@@ -216,7 +224,15 @@
             self._bad_request(request_id, 400, "InvalidHeader")
             return problem(400, f"invalid header {fault!r}", request_id)
         work = self._work(request_id, customer, route)
-        return await self._run(request, work, started, budget_s)
+        key, reason, retry_s = await self._customer_limits.admit(work)
+        if reason is not None:
+            retry_s = self._ingress.retry_after_s(retry_s)
+            outcome = _unchecked_outcome(request, route.idempotent)
+            return self._refusal(work, Refuse(outcome, reason, retry_s), started)
+        try:
+            return await self._run(request, work, started, budget_s)
+        finally:
+            self._customer_limits.done(key)
 
     def _work(self, request_id, customer, route):
         plan = self._state.lists.customers[customer].plan
@@ -232,13 +248,14 @@
 
     async def _run(self, request, work, started, budget_s):
         deadline = started + budget_s
+        unchecked = _unchecked_outcome(request, work.idempotent)
         try:
             async with asyncio.timeout_at(deadline):
                 req = await self._caller_request(request)
         except TimeoutError as exc:
-            return await self._refuse_body(request, work, exc, Outcome.NOT_RUN)
+            return await self._refuse_body(request, work, exc, unchecked)
         except (SanicException, BodyTooLargeError) as exc:
-            return await self._refuse_body(request, work, exc, Outcome.NOT_RUN)
+            return await self._refuse_body(request, work, exc, unchecked)
         try:
             result = await self._route(request, work, req, deadline)
         except CallerBodyError as exc:
@@ -254,7 +271,7 @@
         if req.rest is not None:
             # The digest of the whole body decides whether a key is reused.
             limit = f"body of an order with a key exceeds {REPLAY_LIMIT_BYTES} bytes"
-            raise CallerBodyError(Outcome.NOT_RUN, BodyTooLargeError(limit))
+            raise CallerBodyError(Outcome.UNKNOWN, BodyTooLargeError(limit))
         return await self._orders.run(work, req, key, deadline)
 
     async def _issue_keys(self, request):
@@ -404,3 +421,13 @@
         self._metrics.incr(f"outcome.{outcome.value}")
         self._metrics.timing("latency", elapsed * 1000)
         self._ingress.remember(work.request_id, "outcome", fields)
+
+
+def _unchecked_outcome(request, idempotent):
+    """Return the outcome of a request that is refused before its key is looked up.
+
+    An earlier attempt with the same key may have run, and a caller that is told
+    `not-run` might place the order again under a new key.
+    """
+    keyed = "idempotency-key" in request.headers and not idempotent
+    return Outcome.UNKNOWN if keyed else Outcome.NOT_RUN
