Read an order partition without waiting until it is caught up

The first read of an empty partition waited for the whole long poll, and claims that waited for it were not woken: the first order after a start was answered unknown (502) after its budget.

--- a/dandelionarch/daemon/order_home.py
+++ b/dandelionarch/daemon/order_home.py
@@ -30,6 +30,7 @@
 
 READ_WAIT_MS = 2000
 READ_TIMEOUT_S = 3.0
+READ_LIMIT = 1000
 LOG_TIMEOUT_S = 1.0
 RETRY_DELAY_S = 0.1
 # One failed append is often a lost reply; two in a row mean an outage.
@@ -135,7 +136,10 @@
             try:
                 async with asyncio.timeout(READ_TIMEOUT_S):
                     records = await self._client.read(
-                        self.fold.stream, self._next, wait_ms=READ_WAIT_MS
+                        self.fold.stream,
+                        self._next,
+                        limit=READ_LIMIT,
+                        wait_ms=READ_WAIT_MS if self._caught_up else 0,
                     )
             except OffsetTruncatedError as exc:
                 await self._skip_to(exc.first_offset)
@@ -162,10 +166,12 @@
                 self.batch.seen(item)
                 if isinstance(item, Ran):
                     self._keep_answer(item)
-        # An empty long poll shows that everything before it has been read.
-        self._caught_up = self._caught_up or len(records) < 1000
+        # A short reply shows that everything before it has been read.
+        caught_up = self._caught_up or len(records) < READ_LIMIT
+        changed = records or caught_up != self._caught_up or not self._available
+        self._caught_up = caught_up
         self._available = self._failed_appends < FAILED_APPENDS_FOR_OUTAGE
-        if records or not self._available:
+        if changed:
             async with self._changed:
                 self._changed.notify_all()
 
--- /dev/null
+++ b/tests/test_keyed_refusals.py
@@ -0,0 +1,25 @@
+"""Refusals of requests with an idempotency key."""
+
+from tests.support.path import fleet_test
+
+KEYED = {"Idempotency-Key": "k"}
+
+
+class TestKeyedRefusals:
+    """A refusal says not-run only of a request whose key was looked up."""
+
+    @fleet_test
+    async def test_refusal_before_the_look_up_is_unknown(self, fleet, session):
+        """Guards against a repeat that is told not-run after its order has run."""
+        daemon = await fleet.daemon("vm-a", max_in_flight=1)
+        await fleet.worker("w1", "vm-a")
+        url = fleet.url("vm-a", "/orders")
+        async with session.post(url, headers=KEYED, data=b"lamp") as resp:
+            assert resp.status == 200
+        daemon.http.in_flight = 1
+        async with session.post(url, headers=KEYED, data=b"lamp") as resp:
+            assert (resp.status, resp.headers["Dandelion-Outcome"]) == (503, "unknown")
+            assert int(resp.headers["Retry-After"]) >= 1
+        async with session.post(url, data=b"lamp") as resp:
+            assert (resp.status, resp.headers["Dandelion-Outcome"]) == (503, "not-run")
+        daemon.http.in_flight = 0
