--- a/dandelionarch/measure/judging.py
+++ b/dandelionarch/measure/judging.py
@@ -1,4 +1,4 @@
-"""Detectors and ingress filters that the model can be given."""
+"""The health of endpoints on the model's network, with a stand-in of the log."""
 
 from dandelionarch.core.detection import QueryPeers, RunEnd
 from dandelionarch.core.ejection import Claim, Eject, Release
@@ -6,12 +6,10 @@
 from dandelionarch.core.lists import Floor
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.world import Health
-from dandelionarch.measure.options import NoDetector, OpenFilter
+from dandelionarch.measure.options import NoDetector
 
 TICK_S = 0.1
 QUERY_TIMEOUT_S = 0.5
-FIXED_COUNT = 5
-FIXED_HOLD_S = 30.0
 DEFAULT_FLOOR = Floor(50, "percent")
 
 
@@ -164,27 +162,3 @@
         for peer in peers:
             model.network.send(agent.vm_id, peer.vm_id, ask, peer)
         self.timers.subscribe(QUERY_TIMEOUT_S, finish)
-
-
-class FixedCount(OpenFilter):
-    """Baseline: an ingress ejects for 30 s after 5 failures in a row.
-
-    Refusals and deadlines count as failures, as they do for a proxy that sees
-    only status codes.
-    """
-
-    def __init__(self):
-        self._failures = {}
-        self._until = {}
-
-    def keeps(self, endpoint_id, now):
-        """Return False while the endpoint is ejected."""
-        return now >= self._until.get(endpoint_id, 0.0)
-
-    def ended(self, endpoint_id, reason, now):
-        """Count failures in a row."""
-        count = 0 if reason is None else self._failures.get(endpoint_id, 0) + 1
-        if count >= FIXED_COUNT:
-            self._until[endpoint_id] = now + FIXED_HOLD_S
-            count = 0
-        self._failures[endpoint_id] = count
--- a/dandelionarch/measure/model.py
+++ b/dandelionarch/measure/model.py
@@ -60,6 +60,7 @@
         self.queue = options.make_queue(worker)
         self.waiting = {}
         self.starts = []
+        self.remote_dispatches = []
         self.detector = options.make_detector(self)
 
     def load(self):
@@ -268,6 +269,8 @@
         self.attempts.add(id(attempt))
         endpoint_id = agent.endpoint.endpoint_id
         self.in_flight[endpoint_id] = self.in_flight.get(endpoint_id, 0) + 1
+        if agent.vm_id != self.vm_id:
+            agent.remote_dispatches.append(model.timers.now())
         model.network.send(self.vm_id, agent.vm_id, agent.on_head, attempt)
         self._guard(attempt, model.timers.now())
 
--- /dev/null
+++ b/dandelionarch/measure/scenarios.py
@@ -0,0 +1,196 @@
+"""Scenarios of gray failures and of load that must eject nobody."""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from dandelionarch.core.selection import TwoChoices
+from dandelionarch.core.world import Health
+from dandelionarch.measure.baselines import FixedCount, RandomChoice, RoundRobin
+from dandelionarch.measure.judging import AgentHealth, FleetLog
+from dandelionarch.measure.model import Model
+from dandelionarch.measure.options import Options, crest, steady
+from dandelionarch.measure.workers import Fault, Kind
+
+# Two kinds, as internal lookups beside orders that must not run twice.
+KINDS = (
+    Kind("lookup", 0.08, share=0.7),
+    Kind("order", 0.16, share=0.3, idempotent=False),
+)
+RATE_PER_WORKER = 12.5
+SIZES = (8, 11)
+FAULT_START_S = 25.0
+FAULT_WATCH_S = 40.0
+WINDOW_S = 3.0
+ALMOST_NONE = 0.1
+
+DANDELION = {"make_detector": AgentHealth, "make_log": FleetLog}
+POLICIES = {
+    "random": {"make_policy": RandomChoice},
+    "round robin": {"make_policy": RoundRobin},
+    "two choices": {"make_policy": TwoChoices},
+    "fixed count": {"make_filter": FixedCount},
+    "dandelionarch": DANDELION,
+}
+
+FAULTS = {
+    "3 times slower": {"slow": 3.0},
+    "10 times slower": {"slow": 10.0},
+    "20% errors": {"error_share": 0.2},
+    "50% errors": {"error_share": 0.5},
+    "one kind 10 times slower": {"slow": 10.0, "kind": "lookup"},
+    "hangs, healthy to probes": {"hang": True},
+    "flapping, period 2 s": {"slow": 10.0, "flap_period_s": 2.0},
+    "flapping, period 10 s": {"slow": 10.0, "flap_period_s": 10.0},
+    "flapping, period 60 s": {"slow": 10.0, "flap_period_s": 60.0},
+    "reachable one way": None,
+}
+
+
+def build(policy, workers, seed, **options):
+    """Return a model of one service under a policy of `POLICIES`."""
+    values = {
+        "workers": workers,
+        "kinds": KINDS,
+        "rate": steady(RATE_PER_WORKER * workers),
+        "seed": seed,
+        **POLICIES[policy],
+        **options,
+    }
+    return Model(Options(**values))
+
+
+def cut_receiving(model, agent):
+    """Lose what others send to an agent's VM."""
+    others = [a.vm_id for a in model.agents if a is not agent]
+    model.network.cuts.update((vm_id, agent.vm_id) for vm_id in others)
+
+
+def quiet_after(times, fair_rate, start_s, end_s):
+    """Return the seconds from `start_s` until almost no work arrives, or None.
+
+    Almost none is less than a tenth of the fair share within the next 3 s.
+    """
+    limit = ALMOST_NONE * fair_rate * WINDOW_S
+    times = [t for t in times if t >= start_s]
+    for begin in [start_s, *times]:
+        if begin + WINDOW_S > end_s:
+            return None
+        if sum(begin < t <= begin + WINDOW_S for t in times) < limit:
+            return begin - start_s
+    return None
+
+
+def detection_s(policy, fault, workers, seed):
+    """Return the seconds until the failing worker gets almost no new work."""
+    model = build(policy, workers, seed)
+    agent = model.agents[random.Random(seed).randrange(workers)]
+    end_s = FAULT_START_S + FAULT_WATCH_S
+    if FAULTS[fault] is None:
+        model.timers.subscribe(FAULT_START_S, lambda: cut_receiving(model, agent))
+        model.run(end_s)
+        times = agent.remote_dispatches
+    else:
+        agent.worker.faults.append(Fault(start_s=FAULT_START_S, **FAULTS[fault]))
+        model.run(end_s)
+        times = agent.starts
+    return quiet_after(times, RATE_PER_WORKER, FAULT_START_S, end_s)
+
+
+@dataclass(frozen=True)
+class HealthyRun:
+    """A run without a failing worker; `prepare(model)` changes the model."""
+
+    lasts_s: float = 600.0
+    options: Callable = lambda workers: {}
+    prepare: Callable = lambda model: None
+
+
+def crest_options(workers):
+    """Return a tenfold rise within 2 s, after 20 s."""
+    return {"rate": crest(RATE_PER_WORKER * workers, 10.0, 20.0, lasts_s=20.0)}
+
+
+def slow_all(model):
+    """Slow every worker 3 times during the crest, as a shared database does."""
+    for agent in model.agents:
+        agent.worker.faults.append(Fault(start_s=21.0, end_s=40.0, slow=3.0))
+
+
+def hang_all(model):
+    """Let every worker hang for 20 s."""
+    for agent in model.agents:
+        agent.worker.faults.append(Fault(start_s=30.0, end_s=50.0, hang=True))
+
+
+def misreport(model):
+    """Let a quarter of the workers claim to be idle."""
+    for agent in model.agents[::4]:
+        agent.worker.misreport = 0.0
+
+
+def far_away(model):
+    """Put 30 ms between one data centre and the others, one way."""
+    far = {a.vm_id for a in model.agents[::4]}
+    for vm_id in model.vms:
+        for other in far - {vm_id}:
+            if vm_id not in far:
+                model.network.extra_s[other, vm_id] = 0.03
+
+
+def restart_in_turn(model):
+    """Restart one worker every 30 s; each is cold for 20 s."""
+    for number, agent in enumerate(model.agents):
+        model.timers.subscribe_every(
+            30.0 * len(model.agents),
+            lambda worker=agent.worker: restart(model, worker),
+            first_delay_s=30.0 * (number + 1),
+        )
+
+
+def restart(model, worker):
+    """Make a worker cold."""
+    worker.started_s, worker.cold_s = model.timers.now(), 20.0
+
+
+HEALTHY_RUNS = {
+    "quiet": HealthyRun(),
+    "crest": HealthyRun(60.0, crest_options),
+    "crest, all 3 times slower": HealthyRun(60.0, crest_options, slow_all),
+    "all hang for 20 s": HealthyRun(60.0, prepare=hang_all),
+    "3% stragglers": HealthyRun(
+        options=lambda workers: {"worker_options": {"straggler_share": 0.03}}
+    ),
+    "misleading load reports": HealthyRun(prepare=misreport),
+    "data centre far from one side": HealthyRun(prepare=far_away),
+    "cold starts": HealthyRun(prepare=restart_in_turn),
+}
+
+
+@dataclass(slots=True)
+class FalseCounts:
+    """Ejections and demotions of healthy workers, and worker-hours watched."""
+
+    ejections: int = 0
+    demotions: int = 0
+    worker_hours: float = 0.0
+    first: list = field(default_factory=list)
+
+
+def false_ejections(policy, name, workers, seed):
+    """Run without a failing worker and return the `FalseCounts`."""
+    scenario = HEALTHY_RUNS[name]
+    model = build(policy, workers, seed, **scenario.options(workers))
+    scenario.prepare(model)
+    model.run(scenario.lasts_s)
+    counts = FalseCounts(worker_hours=workers * scenario.lasts_s / 3600)
+    for agent in model.agents:
+        before = Health.HEALTHY
+        for now, health in getattr(agent.detector, "history", ()):
+            counts.ejections += health is Health.EJECTED and before is Health.DEMOTED
+            counts.demotions += health is Health.DEMOTED
+            counts.first.append((now, agent.endpoint.endpoint_id, health.value))
+            before = health
+    for ingress in model.ingresses:
+        counts.ejections += len(getattr(ingress.filter, "ejections", ()))
+    return counts
