--- a/dandelionarch/core/detection.py
+++ b/dandelionarch/core/detection.py
@@ -23,6 +23,8 @@
 # Three runs in a row at the cap: all that an endpoint with 3 slots shows of a hang
 # before the first deadline. Three stragglers look alike, so a claim needs more.
 ALARM_NATS = 9.0
+# Two more at the cap, without a usual one between them.
+PERSIST_NATS = 6.0
 CONFIRM_NATS = 6.0
 QUERY_PEERS = 5
 BASELINE_PEERS = 3
@@ -54,11 +56,15 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryPeers:
-    """Command: ask up to `count` random peers for summaries of kinds of work."""
+    """Command: ask up to `count` random peers for summaries of kinds of work.
+
+    `cap_logs` has the cap of each kind as a logarithm of seconds.
+    """
 
     query_id: int
     purpose: Purpose
     kinds: tuple
+    cap_logs: tuple
     window_s: float
     count: int
 
@@ -96,11 +102,11 @@
     slow: Cusum = field(default_factory=Cusum)
     failing: Cusum = field(default_factory=Cusum)
 
-    def alarm(self):
-        """Return the `Cusum` that has raised an alarm, or None."""
-        if self.failing.total >= ALARM_NATS:
+    def alarm(self, threshold):
+        """Return the `Cusum` that has reached the threshold, or None."""
+        if self.failing.total >= threshold:
             return self.failing
-        return self.slow if self.slow.total >= ALARM_NATS else None
+        return self.slow if self.slow.total >= threshold else None
 
 
 @dataclass(slots=True)
@@ -111,6 +117,13 @@
     baseline: object = None
     tests: Tests = field(default_factory=Tests)
 
+    def cap_log(self):
+        """Return the logarithm of the service time at the cap."""
+        base = self.baseline
+        if base is None:
+            return math.inf
+        return base.median_log + CAP_SPREADS * base.spread_log
+
 
 @dataclass(frozen=True, slots=True)
 class Suspicion:
@@ -167,8 +180,10 @@
 
     def __init__(self, now):
         self.kinds = {}
+        self.threshold = ALARM_NATS
         self._tests = Tests()
         self._runs = {}
+        self._settled = set()
         self._suspicion = None
         self._query_ids = itertools.count(1)
         self._baseline_due = now + FIRST_BASELINE_S
@@ -176,19 +191,22 @@
 
     def run_started(self, run_id, kind, warm, now):
         """Take note of a run; without `warm` its service time is no evidence."""
-        self._runs[run_id] = Run(kind, now, warm)
+        run = self._runs[run_id] = Run(kind, now, warm)
+        self.kinds.setdefault(kind, KindState()).evidence.start(run)
 
     def run_ended(self, run_id, end, now):
         """Handle the end of a run."""
         run = self._runs.pop(run_id, None)
-        if run is None or end is RunEnd.REFUSED:
+        if run is None:
+            return []
+        if end is RunEnd.REFUSED:
+            self.kinds[run.kind].evidence.drop(run)
             return []
         run.ended = now
+        run.failed, run.cut = end is RunEnd.FAILED, end is RunEnd.CUT_SHORT
+        self.kinds[run.kind].evidence.end(run, now)
         # A run that was cut short would have taken longer by an unknown time.
-        if end is RunEnd.CUT_SHORT:
-            return []
-        run.failed = end is RunEnd.FAILED
-        if run.recorded is not None and not run.failed:
+        if run.cut or (run.counted and not run.failed):
             return []
         return self._observe(run, now)
 
@@ -196,7 +214,7 @@
         """Handle the passing of time; call it about every 0.1 s."""
         commands = []
         for run in self._runs.values():
-            if run.recorded is None and run.warm and self._reached_cap(run, now):
+            if not run.counted and run.warm and self._reached_cap(run, now):
                 commands += self._observe(run, now)
         if self._requery_due is not None and now >= self._requery_due:
             self._requery_due = None
@@ -207,25 +225,33 @@
         return commands
 
     def is_good(self, run_id, end, now):
-        """Return True or False for a run that is about to end, None if unclear."""
+        """Return True or False for a run that is about to end, None if unclear.
+
+        A run that the tests counted before their last restart is unclear too: the
+        verdict rests on it already.
+        """
         run = self._runs.get(run_id)
-        if run is None or end is RunEnd.REFUSED:
+        if run is None or end is RunEnd.REFUSED or run_id in self._settled:
             return None
         if end is RunEnd.FAILED or (run.warm and self._reached_cap(run, now)):
             return False
         return None if end is RunEnd.CUT_SHORT else True
 
-    def restart(self):
-        """Forget suspicions, for example after a change of state."""
+    def restart(self, threshold=None):
+        """Forget suspicions, and use another threshold from now on if given."""
+        self.threshold = threshold or self.threshold
         self._suspicion = self._requery_due = None
         self._tests = Tests()
+        self._settled = {run_id for run_id, run in self._runs.items() if run.counted}
         for state in self.kinds.values():
             state.tests = Tests()
 
-    def summary(self, kind, window_s, now):
+    def summary(self, kind, cap_log, window_s, now):
         """Return the `Summary` that a peer asks for."""
         state = self.kinds.get(kind)
-        return state.evidence.summary(now - window_s, now) if state else Summary()
+        if state is None:
+            return Summary()
+        return state.evidence.summary(now - window_s, now, cap_log)
 
     def peers_replied(self, query, replies, now):
         """Handle the replies: one dict of `Summary` by kind per peer."""
@@ -238,12 +264,10 @@
         return self._judge(suspicion, replies, now)
 
     def _observe(self, run, now):
-        """Record a run and add it to the tests of its kind and of all kinds."""
-        state = self.kinds.setdefault(run.kind, KindState())
+        """Add a run to the tests of its kind and of all kinds."""
+        state = self.kinds[run.kind]
         baseline = state.baseline
-        again = run.recorded is not None
-        if not again:
-            state.evidence.add(run, now)
+        run.counted = True
         if baseline is None:
             return []
         failing = failure_nats(baseline.failure_share, run.failed, not run.failed)
@@ -258,9 +282,9 @@
     def _suspect(self, kind, now):
         if self._suspicion is not None:
             return []
-        kinds, alarm = (kind,), self.kinds[kind].tests.alarm()
+        kinds, alarm = (kind,), self.kinds[kind].tests.alarm(self.threshold)
         if alarm is None:
-            kinds, alarm = tuple(self.kinds), self._tests.alarm()
+            kinds, alarm = tuple(self.kinds), self._tests.alarm(self.threshold)
         if alarm is None:
             return []
         query_id = next(self._query_ids)
@@ -272,16 +296,13 @@
             suspicion.query_id,
             Purpose.SUSPICION,
             suspicion.kinds,
+            tuple(self.kinds[kind].cap_log() for kind in suspicion.kinds),
             now - suspicion.since,
             QUERY_PEERS,
         )
 
     def _reached_cap(self, run, now):
-        state = self.kinds.get(run.kind)
-        if state is None or state.baseline is None:
-            return False
-        base = state.baseline
-        return run.log_s(now) >= base.median_log + CAP_SPREADS * base.spread_log
+        return run.log_s(now) >= self.kinds[run.kind].cap_log()
 
     def _judge(self, suspicion, replies, now):
         peers = self._comparable(suspicion, replies)
@@ -289,11 +310,16 @@
             self._requery_due = now + REQUERY_S
             return []
         own = {
-            kind: self.kinds[kind].evidence.summary(suspicion.since, now)
-            for kind in suspicion.kinds
+            kind: state.evidence.summary(suspicion.since, now, state.cap_log())
+            for kind, state in self.kinds.items()
+            if kind in suspicion.kinds
         }
         self._suspicion = None
-        score = max(severity(own[k], self.kinds[k].baseline) for k in own)
+        score = max(
+            severity(own[kind], self.kinds[kind].baseline)
+            for kind in own
+            if self.kinds[kind].baseline
+        )
         if not peers:
             self.restart()
             return [Confirmed(suspicion.kinds, score, False)]
@@ -326,6 +352,7 @@
                 next(self._query_ids),
                 Purpose.BASELINE,
                 tuple(self.kinds),
+                (math.inf,) * len(self.kinds),
                 BASELINE_WINDOW_S,
                 BASELINE_PEERS,
             )
--- a/dandelionarch/core/ejection.py
+++ b/dandelionarch/core/ejection.py
@@ -96,14 +96,17 @@
     def judged(self, score, compared, now):
         """Handle the detector's verdict that the endpoint is unhealthy.
 
-        It is demoted at once. A claim waits for one more bad run, as a few
-        stragglers in a row bring a verdict too, and is not made without peers.
+        The first one demotes it; a further one on later runs brings a claim, as a
+        few stragglers in a row bring a verdict too. Without comparison to peers
+        there is no claim.
         """
-        if self.state is not State.HEALTHY:
-            return []
-        self._decay(now)
         self.score, self._compared = score, compared
-        return self._demote(now)
+        if self.state is State.HEALTHY:
+            self._decay(now)
+            return self._demote(now)
+        if self.state is State.DEMOTED and now >= self._next_claim:
+            return self._claim(now)
+        return []
 
     def claim_accepted(self, now):
         """Handle the read-back of this incarnation's accepted claim."""
@@ -189,8 +192,6 @@
     def _count_bad(self, now):
         self._good = 0
         self._bad += 1
-        if self.state is State.DEMOTED and now >= self._next_claim:
-            return self._claim(now)
         if self.state is State.TRIAL and self._bad >= TRIAL_MISSES:
             self.state = State.EJECTED
             self._lengthen_hold(now)
--- a/dandelionarch/core/evidence.py
+++ b/dandelionarch/core/evidence.py
@@ -42,14 +42,18 @@
 
 @dataclass(slots=True, eq=False)
 class Run:
-    """A run at the endpoint; without `warm` its service time is no evidence."""
+    """A run at the endpoint; without `warm` its service time is no evidence.
+
+    `cut` runs were stopped from outside, `counted` ones are in the tests already.
+    """
 
     kind: str
     started: float
     warm: bool
     ended: float | None = None
     failed: bool = False
-    recorded: float | None = None
+    cut: bool = False
+    counted: bool = False
 
     def log_s(self, now):
         """Return the logarithm of the service time up to now."""
@@ -58,33 +62,45 @@
 
 
 class Evidence:
-    """Recent runs of one kind of work at one endpoint.
-
-    A run that is recorded before its end counts with its age: ages at different
-    endpoints can be compared, while the limits at which they were recorded can't.
-    """
+    """Recent and current runs of one kind of work at one endpoint."""
 
     def __init__(self):
-        self._runs = deque(maxlen=MAX_RUNS)
-
-    def add(self, run, now):
-        """Record a run."""
-        run.recorded = now
-        self._runs.append(run)
-        while self._runs[0].recorded < now - KEPT_S:
-            self._runs.popleft()
-
-    def summary(self, since, now):
-        """Return the `Summary` of what was recorded from `since` to `now`."""
-        recent = [run for run in self._runs if run.recorded >= since]
-        logs = sorted(run.log_s(now) for run in recent if not run.failed and run.warm)
-        failures = sum(run.failed for run in recent)
+        self._ended = deque(maxlen=MAX_RUNS)
+        self._current = {}
+
+    def start(self, run):
+        """Take note of a run that has started."""
+        self._current[run] = True
+
+    def end(self, run, now):
+        """Take note of the end of a run."""
+        self._current.pop(run, None)
+        self._ended.append(run)
+        while self._ended[0].ended < now - KEPT_S:
+            self._ended.popleft()
+
+    def drop(self, run):
+        """Forget a run that says nothing."""
+        self._current.pop(run, None)
+
+    def summary(self, since, now, cap_log=math.inf):
+        """Return the `Summary` of the runs that ended since an instant.
+
+        Current runs and those that were cut count with their age if it reaches
+        the cap. The asker's cap is used at every peer, as ages above different
+        caps can't be compared.
+        """
+        runs = [run for run in self._ended if run.ended >= since]
+        runs = [r for r in runs if not r.cut or r.log_s(now) >= cap_log]
+        runs += [r for r in self._current if r.log_s(now) >= cap_log]
+        logs = sorted(run.log_s(now) for run in runs if not run.failed and run.warm)
+        failures = sum(run.failed for run in runs)
         if not logs:
-            return Summary(len(recent), failures)
+            return Summary(len(runs), failures)
         quarter = len(logs) // 4
         width = logs[-1 - quarter] - logs[quarter]
         return Summary(
-            len(recent), failures, len(logs), median(logs), width / QUARTILE_WIDTH
+            len(runs), failures, len(logs), median(logs), width / QUARTILE_WIDTH
         )
 
 
--- a/dandelionarch/core/health.py
+++ b/dandelionarch/core/health.py
@@ -1,6 +1,12 @@
 """Health of one endpoint: detection and ejection put together."""
 
-from dandelionarch.core.detection import Confirmed, Detector, Purpose
+from dandelionarch.core.detection import (
+    ALARM_NATS,
+    PERSIST_NATS,
+    Confirmed,
+    Detector,
+    Purpose,
+)
 from dandelionarch.core.ejection import Demote, Eject, Ejection, Restore, State
 from dandelionarch.core.world import Health
 
@@ -57,7 +63,7 @@
         """Handle the replies to `QueryPeers`; peers that declined are left out."""
         return self._use(self.detector.peers_replied(query, replies, now), now)
 
-    def summary(self, kind, window_s, now):
+    def summary(self, kind, cap_log, window_s, now):
         """Return the evidence for a peer, or None unless healthy.
 
         An endpoint that gets little work, or is known to be bad, would move the
@@ -65,7 +71,7 @@
         """
         if self.ejection.state is not State.HEALTHY:
             return None
-        return self.detector.summary(kind, window_s, now)
+        return self.detector.summary(kind, cap_log, window_s, now)
 
     def claim_accepted(self, now):
         """Handle the read-back of the accepted claim."""
@@ -98,10 +104,11 @@
         return out
 
     def _wanted(self, command):
-        healthy = self.ejection.state is State.HEALTHY
-        return healthy or command.purpose is Purpose.BASELINE
+        judged = self.ejection.state in (State.HEALTHY, State.DEMOTED)
+        return judged or command.purpose is Purpose.BASELINE
 
     def _changed(self, commands):
         if any(isinstance(c, Demote | Eject | Restore) for c in commands):
-            self.detector.restart()
+            healthy = self.ejection.state is State.HEALTHY
+            self.detector.restart(ALARM_NATS if healthy else PERSIST_NATS)
         return commands
