--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+from dandelionarch.core.announcements import CHECK_PERIOD_S, Announcements
 from dandelionarch.core.checkpoints import Retention
 from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Verdict
 from dandelionarch.core.directory import Directory
@@ -16,7 +17,7 @@
 from dandelionarch.core.world import EndpointState, Vm
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
-from dandelionarch.daemon.gossip import DirectoryExchange
+from dandelionarch.daemon.gossip import Gossip
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp, IngressProtocol
 from dandelionarch.daemon.limits import Limits
@@ -118,9 +119,16 @@
             self.metrics,
         )
         self.admin = Admin(self)
-        self.exchange = DirectoryExchange(
-            self.network, self.directory, self.vm, cfg.seed_addresses
+        self.gossip = Gossip(
+            self.network,
+            self.directory,
+            self.vm,
+            cfg.shared_key.encode(),
+            cfg.seed_addresses,
         )
+        self.gossip.carry_offsets(self.streams.offsets)
+        self.gossip.on_peer_offsets(self.streams.peer_offsets)
+        self.announcements = Announcements()
         self._servers = []
         self._tasks = []
         self._stop_requested = None
@@ -149,6 +157,9 @@
             "log client": self.client.start(),
             "agent": self.agent.start(),
             f"peer port {cfg.peer_port}": self.network.start(cfg.host, cfg.peer_port),
+            f"gossip port {cfg.gossip_port}": self.gossip.start(
+                cfg.host, cfg.gossip_port
+            ),
             f"admin port {cfg.admin_port}": self._serve(self.admin.app, cfg.admin_port),
             f"ingress port {cfg.ingress_port}": self._serve(
                 self.http.app, cfg.ingress_port, IngressProtocol
@@ -161,7 +172,9 @@
             raise ExceptionGroup("daemon could not start", errors)
         for coro in (
             self.streams.run(),
-            self.exchange.run(),
+            self.gossip.run(),
+            self.gossip.run_seeds(),
+            self._watch_endpoints(),
             self.order_homes.run(),
             self.limits.run(),
         ):
@@ -187,6 +200,7 @@
     async def drain(self):
         """Tell the peers, refuse new work, and finish what is in flight."""
         event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
+        self.gossip.leave()
         for link in self.network.all_links():
             with contextlib.suppress(LinkError):
                 link.send(msgs.Leaving(self.vm_id))
@@ -214,6 +228,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in self._servers:
             server.close()
+        self.gossip.stop()
         steps = {
             "agent": self.agent.stop(),
             "peer network": self.network.stop(),
@@ -223,12 +238,21 @@
         if errors:
             raise ExceptionGroup("daemon did not stop properly", errors)
 
+    async def _watch_endpoints(self):
+        """Treat endpoints that no longer announce themselves as gone."""
+        while True:
+            await asyncio.sleep(CHECK_PERIOD_S)
+            for endpoint in self.announcements.silent(self.network.now()):
+                event(log, "endpoint_silent", endpoint=endpoint.endpoint_id)
+                self.directory.put_endpoint(endpoint)
+
     def announced(self, endpoint):
         """Take note of an endpoint beside this daemon."""
         if self._drained.get(endpoint.endpoint_id) == endpoint.incarnation and (
             endpoint.state is not EndpointState.GONE
         ):
             endpoint = dataclasses.replace(endpoint, state=EndpointState.DRAINING)
+        self.announcements.heard(endpoint, self.network.now())
         if self.directory.put_endpoint(endpoint):
             event(
                 log,
