Inject link faults into test daemons by a setting

One-way cuts and silent connections between real processes are needed for the chaos run; the machine's firewall is out of bounds. The control path exists only with [faults] enabled = true.

--- a/dandelionarch/daemon/admin.py
+++ b/dandelionarch/daemon/admin.py
@@ -8,6 +8,7 @@
 from sanic.response import json
 
 from dandelionarch.core.world import Endpoint, EndpointState
+from dandelionarch.daemon.faults import FaultOrder
 from dandelionarch.ids import EndpointId, Incarnation, ServiceName
 from dandelionarch.logs import event
 
@@ -50,6 +51,8 @@
             self._drain_endpoint, "/drain/<endpoint:str>", methods=["POST"]
         )
         self.app.add_route(self._explain, "/explain/<request_id:str>")
+        if daemon.settings.faults.enabled:
+            self.app.add_route(self._faults, "/faults", methods=["POST"])
 
     async def _announce(self, request):
         try:
@@ -84,6 +87,15 @@
             return json({"error": problem}, status=404)
         return json({"vm": self._daemon.vm_id, "endpoint": endpoint}, status=202)
 
+    async def _faults(self, request):
+        try:
+            order = FaultOrder.model_validate_json(request.body)
+        except pydantic.ValidationError as exc:
+            return json({"error": exc.errors(include_url=False)}, status=400)
+        network = self._daemon.network
+        network.faults.apply(order, network.all_links())
+        return json({})
+
     async def _explain(self, request, request_id):
         decisions = self._daemon.ingress.decisions.get(request_id, [])
         return json([{"event": name, **fields} for name, fields in decisions])
--- a/dandelionarch/daemon/gossip.py
+++ b/dandelionarch/daemon/gossip.py
@@ -241,6 +241,8 @@
     def _send(self, address, message):
         if self._transport is None or self._transport.is_closing():
             return
+        if self._network.faults.drops_datagram(self._directory, address):
+            return
         try:
             data = self._codec.pack(message)
             self._transport.sendto(data, address)
--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -4,6 +4,7 @@
 import inspect
 import logging
 
+from dandelionarch.daemon.faults import LinkFaults
 from dandelionarch.daemon.tcplink import Link, TcpLink
 from dandelionarch.errors import LinkDownError, WireError
 from dandelionarch.logs import event
@@ -48,6 +49,7 @@
         self.vm_id = vm_id
         self.shared_key = shared_key
         self.codec = Codec()
+        self.faults = LinkFaults()
         self.address_of = address_of
         self._links = {}
         self._dialling = {}
@@ -124,6 +126,9 @@
         fut = self._dialling.get(vm_id)
         if fut is None:
             address = self.address_of(vm_id)
+            if self.faults.drops(vm_id):
+                await asyncio.sleep(CONNECT_TIMEOUT_S)
+                raise LinkDownError(f"{vm_id}: connecting timed out")
             if address is None:
                 raise LinkDownError(f"{vm_id}: address unknown")
             fut = self.spawn(self.dial(*address, expected=vm_id))
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -88,6 +88,12 @@
     style: Literal["kv", "json"] = "kv"
 
 
+class FaultsSection(_Section):
+    """`[faults]`: fault injection for tests; never enabled where callers are served."""
+
+    enabled: bool = False
+
+
 class Settings(pydantic.BaseModel):
     """All settings of a daemon."""
 
@@ -98,6 +104,7 @@
     limits: LimitsSection = LimitsSection()
     orders: OrdersSection = OrdersSection()
     statsd: StatsdSection = StatsdSection()
+    faults: FaultsSection = FaultsSection()
     logs: LogsSection = LogsSection()
 
 
@@ -107,6 +114,7 @@
     "limits": LimitsSection,
     "orders": OrdersSection,
     "statsd": StatsdSection,
+    "faults": FaultsSection,
     "logs": LogsSection,
 }
 
--- a/dandelionarch/daemon/tcplink.py
+++ b/dandelionarch/daemon/tcplink.py
@@ -91,6 +91,7 @@
         self.dialled = dialled
         self.ready = asyncio.get_running_loop().create_future()
         self.last_received = 0.0
+        self.muted = False
         self._network = network
         self._transport = None
         self._buffer = bytearray()
@@ -118,6 +119,8 @@
         transport.write(pack_hello(self._nonce))
 
     def data_received(self, data):
+        if self.muted:
+            return
         self.last_received = self._network.now()
         self._buffer += data
         try:
@@ -259,6 +262,8 @@
         if frame.channel != IDENTIFY_CHANNEL or len(frame.payload) > MAX_ID_BYTES:
             raise MessageDecodeError("first frame does not identify the peer")
         self.vm_id = VmId(frame.payload.decode("ascii", "replace"))
+        if self._network.faults.drops(self.vm_id):
+            raise HandshakeTimeoutError(f"{self.vm_id} is cut off")
         self._expiry.cancel()
         self.ready.set_result(self)
         self._network.link_opened(self)
@@ -293,4 +298,6 @@
             self._transport.abort()
             self.close()
             raise LinkDownError(f"{self.vm_id}: peer does not read")
+        if self.muted or self._network.faults.drops(self.vm_id):
+            return
         self._transport.write(self._pack.pack(frame))
