Add a chaos run over real processes with an audit

Eight daemons in two data centres, 24 workers and a log get faults drawn by seed under load; the audit goes by the workers' own records.

--- /dev/null
+++ b/dandelionarch/measure/chaos_client.py
@@ -0,0 +1,128 @@
+"""Client of a chaos run: orders with repeats, and records of what it was told."""
+
+import asyncio
+import hashlib
+import random
+import time
+
+import aiohttp
+
+from dandelionarch.measure.chaos_audit import Attempt
+from dandelionarch.measure.processes import CUSTOMER_KEY
+
+REQUEST_TIMEOUT_S = 8.0
+MAX_REPEATS = 6
+REPEAT_DELAY_S = 0.4
+BODY_SIZES = (10, 3_000, 150_000)
+
+
+class ChaosClient:
+    """Sends orders and reads through random daemons until told to stop.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    evidence : Evidence
+        Takes an `Attempt` per request.
+    seed : int
+    """
+
+    def __init__(self, fleet, evidence, seed):
+        self._fleet = fleet
+        self._evidence = evidence
+        self._rng = random.Random(seed)
+        self._session = None
+        self._issued = []
+        self._number = 0
+        self.broken = 0
+
+    async def run(self, duration_s, rate):
+        """Begin `rate` orders a second for `duration_s` seconds; wait for all."""
+        headers = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
+        tasks = []
+        async with aiohttp.ClientSession(headers=headers) as session:
+            self._session = session
+            begin = time.monotonic()
+            while (late := time.monotonic() - begin) < duration_s:
+                if len(tasks) <= late * rate:
+                    tasks.append(asyncio.create_task(self._one()))
+                await asyncio.sleep(0.2 / rate)
+            await asyncio.gather(*tasks)
+
+    async def _one(self):
+        self._number += 1
+        kind = self._rng.choice(("own", "own", "issued", "none", "read"))
+        if kind == "read":
+            await self._send("GET", "/calendar/today", "", b"")
+        elif kind == "none":
+            await self._send("POST", "/orders", "", self._body())
+        else:
+            key = f"own-{self._number}" if kind == "own" else await self._issued_key()
+            if key:
+                await self._order(key, self._body())
+
+    def _body(self):
+        return self._rng.randbytes(self._rng.choice(BODY_SIZES))
+
+    async def _order(self, key, body):
+        """Send an order, at times twice at once, and repeat it while it is unknown."""
+        for repeat in range(MAX_REPEATS):
+            twice = 2 if self._rng.random() < 0.3 else 1
+            told = await asyncio.gather(
+                *(self._send("POST", "/orders", key, body) for _ in range(twice))
+            )
+            if "answer" in told and repeat > 0:
+                return
+            await asyncio.sleep(self._rng.uniform(0.1, 2.0) * REPEAT_DELAY_S)
+
+    async def _issued_key(self):
+        """Return a key that a daemon has issued, or None if none answers."""
+        if not self._issued:
+            url = f"http://127.0.0.1:{self._port()}/dandelion/keys"
+            timeout = aiohttp.ClientTimeout(total=2.0)
+            try:
+                async with self._session.post(
+                    url, params={"count": "5"}, timeout=timeout
+                ) as resp:
+                    if resp.status == 200:
+                        self._issued = (await resp.json())["keys"]
+            except (aiohttp.ClientError, TimeoutError):
+                return None
+        return self._issued.pop() if self._issued else None
+
+    def _port(self):
+        return self._rng.choice(list(self._fleet.daemons.values())).ingress
+
+    async def _send(self, method, path, key, body):
+        """Send one request and record it; return the outcome told."""
+        headers = {"Idempotency-Key": key} if key else {}
+        url = f"http://127.0.0.1:{self._port()}{path}"
+        sent = time.time()
+        timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
+        try:
+            async with self._session.request(
+                method, url, data=body or None, headers=headers, timeout=timeout
+            ) as resp:
+                outcome = resp.headers.get("Dandelion-Outcome", "none")
+                request_id = resp.headers.get("Dandelion-Request-Id", "-")
+                repeated = "Dandelion-Repeated" in resp.headers
+                whole = resp.status != 200 or _is_own(
+                    await resp.json(), request_id, body, repeated
+                )
+        except (aiohttp.ClientError, TimeoutError, ValueError):
+            # The caller's own connection broke; it knows nothing of the outcome.
+            self.broken += 1
+            return "broken"
+        self._evidence.attempts.append(
+            Attempt(
+                request_id, key, method == "POST", outcome, whole, sent, time.time()
+            )
+        )
+        return outcome
+
+
+def _is_own(answer, request_id, body, repeated):
+    """Return True if an answer of the worker stand-in belongs to this request."""
+    if answer["digest"] != hashlib.sha256(body).hexdigest():
+        return False
+    return repeated or answer["request"] == request_id
--- a/dandelionarch/measure/processes.py
+++ b/dandelionarch/measure/processes.py
@@ -193,6 +193,10 @@
         self.processes.append(process)
         return process
 
+    def start_load(self, url, rate, duration_s):
+        """Start a background load of reads through one daemon."""
+        return self._start("load", "load", url, str(rate), str(duration_s))
+
     async def log_faults(self, session, **faults):
         """Set the log stand-in's faults; without any, it works again."""
         url = f"http://127.0.0.1:{self.log_control_port}/standin/faults"
