--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -149,6 +149,7 @@
 
     shortest_first: bool = True
     short_slot: bool = True
+    ageing: bool = True
     refuse_late: bool = True
     priorities: bool = True
 
@@ -231,6 +232,8 @@
         job = Job(item, key, cost_s, long, deadline, priority, now, self._sequence)
         if not by_cost:
             job.order = (now, self._sequence)
+        elif not self.rules.ageing:
+            job.order = (cost_s, deadline, self._sequence)
         return job
 
     def _may_start(self, job):
--- a/dandelionarch/daemon/orders.py
+++ b/dandelionarch/daemon/orders.py
@@ -27,8 +27,6 @@
 RESERVE_S = 0.05
 REPLY_GRACE_S = 0.2
 TAKEN_POLL_S = 0.2
-RETRY_AFTER_MIN_S = 1.0
-RETRY_AFTER_SPREAD_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,46 +61,51 @@
     Parameters
     ----------
     network : PeerNetwork
-    directory : Directory
     homes : OrderHomes
     issuer : KeyIssuer
-    vm : Vm
-        This daemon's VM.
-    rng : random.Random
-        Source of the spread of `Retry-After`.
+    ingress : Ingress
+        Dispatches the orders that are granted.
     """
 
-    def __init__(self, network, directory, homes, issuer, vm, rng):
+    def __init__(self, network, homes, issuer, ingress):
         self._network = network
-        self._directory = directory
         self._homes = homes
         self._issuer = issuer
-        self._vm = vm
-        self._rng = rng
+        self._ingress = ingress
+        self.in_flight = 0
 
     def issue(self, count, customer):
         """Return the texts of new keys for a customer."""
+        vm = self._homes.vm
         return [
-            self._issuer.make(
-                IssuedKey(self._vm.vm_id, self._vm.incarnation, sequence), customer
-            )
+            self._issuer.make(IssuedKey(vm.vm_id, vm.incarnation, sequence), customer)
             for sequence in self._homes.issue(count)
         ]
 
-    async def run(self, work, req, key, deadline, execute):
+    async def run(self, work, req, key, deadline):
         """Run an order once, or tell how its earlier run ended.
 
+        The order goes on when its caller has gone, so that a repeat with the same
+        key finds the answer.
+
         Parameters
         ----------
-        work, req
+        work, req, deadline
             As for `Ingress.run`; the body of `req` is whole.
         key : str
             The idempotency key.
-        deadline : float
-            Loop time in seconds.
-        execute : callable
-            `await execute()` dispatches the order and returns its result.
         """
+        task = self._network.spawn(self._run(work, req, key, deadline))
+        return await asyncio.shield(task)
+
+    async def _run(self, work, req, key, deadline):
+        self.in_flight += 1
+        try:
+            return await self._claim_and_run(work, req, key, deadline)
+        finally:
+            self.in_flight -= 1
+
+    async def _claim_and_run(self, work, req, key, deadline):
         ticket = self._ticket(work, req, key)
         if ticket is None:
             return self._refuse(ClaimVerdict.EXPIRED)
@@ -121,7 +124,7 @@
             if verdict is ClaimVerdict.UNAVAILABLE:
                 await self._tell(ticket, ran=False)
             return self._refuse(verdict)
-        result = await execute()
+        result = await self._ingress.run(work, req, deadline)
         await self._report(ticket, result)
         return result
 
@@ -131,7 +134,7 @@
         issued = self._issuer.parse(key, work.customer)
         sequence = 0
         if issued is not None:
-            vm = self._directory.vms.get(issued.vm_id)
+            vm = self._homes.directory.vms.get(issued.vm_id)
             if vm is None or vm.incarnation != issued.incarnation:
                 return None
             if vm.state is VmState.DEAD:
@@ -143,8 +146,8 @@
             digest,
             body_digest(req.method, req.target, req.body),
             uuid.uuid4().hex,
-            self._vm.vm_id,
-            self._vm.incarnation,
+            self._homes.vm.vm_id,
+            self._homes.vm.incarnation,
             sequence,
             0,
         )
@@ -224,8 +227,7 @@
         return self._refusal(*REFUSALS[verdict])
 
     def _refusal(self, outcome, reason):
-        spread = self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
-        return Refuse(outcome, reason, RETRY_AFTER_MIN_S + spread)
+        return Refuse(outcome, reason, self._ingress.retry_after_s())
 
 
 def _with_wait(query, wait_s):
