--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -3,6 +3,7 @@
 from dandelionarch.measure.processes import (
     ALLOWANCES,
     CUSTOMER_KEY,
+    DAEMON_SETTINGS,
     PLANS,
     SHARED_KEY,
     DaemonProcess,
@@ -13,6 +14,7 @@
 __all__ = [
     "ALLOWANCES",
     "CUSTOMER_KEY",
+    "DAEMON_SETTINGS",
     "PLANS",
     "SHARED_KEY",
     "DaemonProcess",
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -8,6 +8,7 @@
 from dandelionarch.core.messages import members as msgs
 from dandelionarch.core.messages.request import Leaving, Ping
 from dandelionarch.core.world import Endpoint, EndpointState, Vm, VmState
+from dandelionarch.daemon.faults import LinkFaults
 from dandelionarch.daemon.gossip import Gossip
 from dandelionarch.wire.codec import Codec
 from dandelionarch.wire.datagram import DatagramCodec
@@ -21,6 +22,7 @@
 
     def __init__(self):
         self.handlers = {}
+        self.faults = LinkFaults()
 
     def subscribe(self, msg_type, handler):
         """Keep a handler."""
