Add the open-loop load generator

Requests start when they are due, in steps and in crests at fixed times; latencies count from that instant, so a server that holds the generator up can't hide it. Count, time and requests in flight are bounded; a request that could not be sent within the bounds is counted as such. Each request may be recorded for audits.

--- a/dandelionarch/daemon/workers.py
+++ b/dandelionarch/daemon/workers.py
@@ -70,7 +70,7 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             trace_configs=[trace],
-            middlewares=[_send_once],
+            middlewares=[send_once],
             skip_auto_headers=OWN_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         )
@@ -142,7 +142,7 @@
     context.trace_request_ctx.reused = True
 
 
-async def _send_once(req, handler):
+async def send_once(req, handler):
     """Replace the errors on which the session would send a request again.
 
     The session resends a PUT or DELETE whose reused connection broke; a route may
--- /dev/null
+++ b/dandelionarch/load/generator.py
@@ -0,0 +1,126 @@
+"""Open-loop load: requests start when they are due, whatever came back before."""
+
+import asyncio
+import itertools
+import uuid
+from dataclasses import dataclass
+
+import aiohttp
+
+from dandelionarch.daemon.workers import send_once
+from dandelionarch.errors import DandelionError
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What is sent.
+
+    Attributes
+    ----------
+    targets : tuple of str
+        Base URLs, taken in turn.
+    customers : tuple of (str, str)
+        Name and bearer key, drawn at random.
+    routes : tuple of (str, str, float)
+        Method, path and weight; `{n}` in a path is the number of the request.
+    body_bytes : int
+        Size of the body of POST, PUT and PATCH.
+    keys : bool
+        Add an `Idempotency-Key` to POST, PUT and PATCH.
+    timeout_s : float
+        Longest wait for one request.
+    max_in_flight : int
+        Requests beyond this are counted as not sent.
+    """
+
+    targets: tuple
+    customers: tuple
+    routes: tuple
+    body_bytes: int = 0
+    keys: bool = False
+    timeout_s: float = 10.0
+    max_in_flight: int = 10_000
+
+
+class Generator:
+    """Sends the requests of a plan and fills a report."""
+
+    def __init__(self, plan, report, rng):
+        self._plan = plan
+        self._report = report
+        self._rng = rng
+        self._targets = itertools.cycle(plan.targets)
+        self._weights = [weight for _, _, weight in plan.routes]
+        self._tasks = set()
+        self._session = None
+        self._began = 0.0
+        self.stopping = asyncio.Event()
+
+    async def run(self, times):
+        """Send a request at each of the times, in seconds from now."""
+        timeout = aiohttp.ClientTimeout(total=self._plan.timeout_s)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            middlewares=[send_once],
+            cookie_jar=aiohttp.DummyCookieJar(),
+        ) as session:
+            self._session = session
+            self._began = asyncio.get_running_loop().time()
+            for n, due_s in enumerate(times):
+                await self._wait(due_s)
+                if self.stopping.is_set():
+                    break
+                if len(self._tasks) >= self._plan.max_in_flight:
+                    self._report.skip(due_s)
+                    continue
+                task = asyncio.create_task(self._request(n, due_s))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+            await asyncio.gather(*self._tasks)
+
+    def _now(self):
+        return asyncio.get_running_loop().time() - self._began
+
+    async def _wait(self, due_s):
+        delay_s = due_s - self._now()
+        if delay_s > 0:
+            try:
+                async with asyncio.timeout(delay_s):
+                    await self.stopping.wait()
+            except TimeoutError:
+                pass
+
+    async def _request(self, n, due_s):
+        method, path, _ = self._rng.choices(self._plan.routes, self._weights)[0]
+        customer, key = self._rng.choice(self._plan.customers)
+        headers = {"Authorization": f"Bearer {key}"}
+        body = None
+        if method in ("POST", "PUT", "PATCH"):
+            body = bytes(self._plan.body_bytes)
+            if self._plan.keys:
+                headers["Idempotency-Key"] = uuid.uuid4().hex
+        result = {
+            "request": None,
+            "key": headers.get("Idempotency-Key"),
+            "outcome": "broken",
+            "status": 0,
+            "customer": customer,
+            "route": f"{method} {path}",
+        }
+        url = next(self._targets) + path.replace("{n}", str(n))
+        sent_s = self._now()
+        try:
+            async with self._session.request(
+                method, url, headers=headers, data=body
+            ) as resp:
+                result["request"] = resp.headers.get("Dandelion-Request-Id")
+                result["status"] = resp.status
+                await resp.read()
+                result["outcome"] = resp.headers.get("Dandelion-Outcome", "direct")
+        except TimeoutError:
+            result["outcome"] = "timeout"
+        except (aiohttp.ClientError, DandelionError, OSError):
+            pass
+        self._report.add(due_s, sent_s, self._now(), result)
--- a/dandelionarch/load/main.py
+++ b/dandelionarch/load/main.py
@@ -1,9 +1,109 @@
 """Entry point of `dandelion-load`."""
 
+import argparse
+import asyncio
+import contextlib
+import json
+import random
+import signal
 import sys
 
+import uvloop
+
+from dandelionarch.load.generator import Generator, Plan
+from dandelionarch.load.report import Report
+from dandelionarch.load.schedule import Crest, Step, schedule
+
+BAD_OUTCOMES = ("broken", "timeout", "not-sent")
+
+
+def customer(text):
+    """Return (name, key) of `NAME=KEY`."""
+    name, _, key = text.partition("=")
+    if not name or not key:
+        raise ValueError(text)
+    return name, key
+
+
+def route(text):
+    """Return (method, path, weight) of `METHOD PATH [WEIGHT]`."""
+    method, path, *weight = text.split()
+    if len(weight) > 1 or not path.startswith("/"):
+        raise ValueError(text)
+    return method.upper(), path, float(weight[0]) if weight else 1.0
+
+
+def build_parser():
+    """Return the parser of all options."""
+    parser = argparse.ArgumentParser(
+        prog="dandelion-load",
+        description="Open-loop load with latencies counted from when requests are due.",
+    )
+    add = parser.add_argument
+    add("--target", action="append", required=True, help="base URL; repeatable")
+    add("--customer", action="append", type=customer, required=True, help="NAME=KEY")
+    add("--route", action="append", type=route, help="METHOD PATH [WEIGHT]")
+    add("--step", action="append", type=Step.parse, default=[], help="RATE:SECONDS")
+    add(
+        "--crest",
+        action="append",
+        type=Crest.parse,
+        default=[],
+        help="START,COUNT,SECONDS; START in seconds or as HH:MM:SS in UTC",
+    )
+    add("--even", action="store_true", help="even gaps instead of random ones")
+    add("--max-requests", type=int, default=1_000_000)
+    add("--max-in-flight", type=int, default=10_000)
+    add("--timeout-s", type=float, default=10.0)
+    add("--body-bytes", type=int, default=0)
+    add("--keys", action="store_true", help="send an Idempotency-Key with orders")
+    add("--seed", type=int, default=1)
+    add("--json", metavar="FILE", help="write the report here")
+    add("--records", metavar="FILE", help="write one JSON line per request here")
+    return parser
+
+
+async def generate(args, report):
+    """Run the load until its end, SIGTERM or SIGINT."""
+    plan = Plan(
+        tuple(target.rstrip("/") for target in args.target),
+        tuple(args.customer),
+        tuple(args.route or [("GET", "/", 1.0)]),
+        args.body_bytes,
+        args.keys,
+        args.timeout_s,
+        args.max_in_flight,
+    )
+    rng = random.Random(args.seed)
+    generator = Generator(plan, report, rng)
+    loop = asyncio.get_running_loop()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, generator.stopping.set)
+    arrivals = None if args.even else random.Random(args.seed)
+    await generator.run(
+        schedule(args.step, args.crest, args.max_requests, rng=arrivals)
+    )
+
 
 def main(argv=None):
-    """Generate load; return the exit code."""
-    print("dandelion-load: not built yet", file=sys.stderr)
-    return 2
+    """Generate load; return 1 if a request got no outcome, 0 otherwise."""
+    parser = build_parser()
+    args = parser.parse_args(argv)
+    if not args.step and not args.crest:
+        parser.error("give at least one --step or --crest")
+    with contextlib.ExitStack() as stack:
+        records = None
+        if args.records:
+            records = stack.enter_context(open(args.records, "w", encoding="utf-8"))
+        report = Report(records)
+        uvloop.run(generate(args, report))
+    for line in report.lines():
+        print(line)
+    if args.json:
+        with open(args.json, "w", encoding="utf-8") as out:
+            json.dump(report.to_dict(), out, indent=1)
+    return 1 if any(report.outcomes[name] for name in BAD_OUTCOMES) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dandelionarch/load/report.py
@@ -0,0 +1,86 @@
+"""What a load has measured: histograms and counts per outcome."""
+
+import json
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+LOWEST_US = 1
+HIGHEST_US = 600_000_000
+SIGNIFICANT_DIGITS = 3
+PERCENTILES = (50, 90, 99, 99.9, 100)
+
+
+class Report:
+    """Latencies and outcomes of one load.
+
+    `latency` counts from the instant at which a request was due, so a server that
+    holds up the generator can't hide its delays (coordinated omission); `service`
+    counts from the instant at which it was sent.
+
+    Parameters
+    ----------
+    records : file or None
+        Gets one JSON line per request.
+    """
+
+    def __init__(self, records=None):
+        self.latency = {}
+        self.service = _histogram()
+        self.outcomes = Counter()
+        self.statuses = Counter()
+        self._records = records
+
+    def add(self, due_s, sent_s, ended_s, result):
+        """Count one request; the times are in seconds on one scale."""
+        outcome = result["outcome"]
+        self.outcomes[outcome] += 1
+        self.statuses[f"{outcome} {result['status']}"] += 1
+        latency = self.latency.setdefault(outcome, _histogram())
+        latency.record_value(_microseconds(ended_s - due_s))
+        self.service.record_value(_microseconds(ended_s - sent_s))
+        if self._records is not None:
+            line = {"due_s": due_s, "latency_ms": (ended_s - due_s) * 1000, **result}
+            self._records.write(json.dumps(line) + "\n")
+
+    def skip(self, due_s):
+        """Count a request that was due but could not be sent within the bounds."""
+        self.outcomes["not-sent"] += 1
+        if self._records is not None:
+            line = {"due_s": due_s, "outcome": "not-sent"}
+            self._records.write(json.dumps(line) + "\n")
+
+    def to_dict(self):
+        """Return counts, and percentiles in milliseconds."""
+        return {
+            "outcomes": dict(self.outcomes),
+            "statuses": dict(self.statuses),
+            "latency_ms": {
+                outcome: _percentiles(histogram)
+                for outcome, histogram in sorted(self.latency.items())
+            },
+            "service_ms": _percentiles(self.service),
+        }
+
+    def lines(self):
+        """Yield the lines that are printed."""
+        for outcome, count in sorted(self.outcomes.items()):
+            yield f"{outcome:12} {count:8}"
+        for outcome, histogram in sorted(self.latency.items()):
+            said = "  ".join(
+                f"p{name} {value:.2f}"
+                for name, value in _percentiles(histogram).items()
+            )
+            yield f"{outcome:12} latency ms  {said}"
+
+
+def _histogram():
+    return HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def _microseconds(seconds):
+    return min(HIGHEST_US, max(LOWEST_US, round(seconds * 1e6)))
+
+
+def _percentiles(histogram):
+    return {str(p): histogram.get_value_at_percentile(p) / 1000 for p in PERCENTILES}
