Confirm a verdict on the runs of the alarm against the peers' level

The median of the own window was too coarse: alarms with usual runs in the window were not confirmed and the tests began anew; the baseline was then set to medians and spreads of a handful of runs. Now the runs that made up the alarm are weighed again with the peers' median as level and the baseline's spread, an alarm that is not confirmed stays and is asked again after 0.25 s, and the baseline moves only to a level that is clearly worse. A verdict by failures claims at once; one by slowness claims at the second.

--- a/dandelionarch/core/detection.py
+++ b/dandelionarch/core/detection.py
@@ -6,9 +6,9 @@
 
 import itertools
 import math
+from collections import deque
 from dataclasses import dataclass, field
 from enum import Enum
-from statistics import median
 
 from dandelionarch.core.evidence import Evidence, Run, Summary, median_baseline
 
@@ -21,13 +21,13 @@
 # Stragglers run 30 times longer; the cap limits each to the weight of one run.
 CAP_SPREADS = 2.5
 # Three runs in a row at the cap: all that an endpoint with 3 slots shows of a hang
-# before the first deadline. Three stragglers look alike, so a claim needs more.
+# before the first deadline. Three stragglers look alike, so a claim for slowness
+# takes a second verdict; a failure has no such innocent cause.
 ALARM_NATS = 9.0
-# Two more at the cap, without a usual one between them.
-PERSIST_NATS = 6.0
 CONFIRM_NATS = 6.0
 QUERY_PEERS = 5
 BASELINE_PEERS = 3
+MAX_SEEN = 256
 BASELINE_WINDOW_S = 30.0
 BASELINE_PERIOD_S = 10.0
 FIRST_BASELINE_S = 2.0
@@ -73,26 +73,34 @@
 class Confirmed:
     """Command: the endpoint is worse than its peers.
 
-    `score` is higher the worse it is; `compared` is False without peers.
+    `score` is higher the worse it is; `compared` is False without peers. `sure`
+    says that the evidence is enough for a claim.
     """
 
     kinds: tuple
     score: float
     compared: bool
+    sure: bool
 
 
 @dataclass(slots=True)
 class Cusum:
-    """A cumulative sum in nats that never falls below zero."""
+    """A cumulative sum in nats that never falls below zero.
+
+    `seen` has (kind, log service time or None, failed) of the runs since zero.
+    """
 
     total: float = 0.0
     since: float = 0.0
+    seen: deque = field(default_factory=lambda: deque(maxlen=MAX_SEEN))
 
-    def add(self, nats, now):
+    def add(self, nats, now, kind, log_s, failed):
         """Add one observation."""
         if self.total <= 0.0:
             self.since = now
+            self.seen.clear()
         self.total = max(0.0, self.total + nats)
+        self.seen.append((kind, log_s, failed))
 
 
 @dataclass(slots=True)
@@ -102,11 +110,11 @@
     slow: Cusum = field(default_factory=Cusum)
     failing: Cusum = field(default_factory=Cusum)
 
-    def alarm(self, threshold):
-        """Return the `Cusum` that has reached the threshold, or None."""
-        if self.failing.total >= threshold:
+    def alarm(self):
+        """Return the `Cusum` that has raised an alarm, or None."""
+        if self.failing.total >= ALARM_NATS:
             return self.failing
-        return self.slow if self.slow.total >= threshold else None
+        return self.slow if self.slow.total >= ALARM_NATS else None
 
 
 @dataclass(slots=True)
@@ -131,7 +139,7 @@
 
     query_id: int
     kinds: tuple
-    since: float
+    alarm: Cusum
     raised: float
 
 
@@ -152,25 +160,6 @@
     )
 
 
-def nats_against(own, peers):
-    """Return (nats of slowness, nats of failures) against the peers' median."""
-    usual = median_baseline(peers)
-    share = median(p.failure_share for p in peers)
-    failing = failure_nats(share, own.failures, own.count - own.failures)
-    if usual is None or not own.timed:
-        return 0.0, failing
-    return own.timed * slow_nats(usual, own.median_log), failing
-
-
-def severity(own, baseline):
-    """Return how unhealthy an endpoint is.
-
-    This is ten times the failure share plus the logarithm of the slowdown.
-    """
-    slowdown = own.median_log - baseline.median_log if own.timed else 0.0
-    return 10 * own.failure_share + max(0.0, slowdown)
-
-
 class Detector:
     """Judges one endpoint.
 
@@ -180,7 +169,6 @@
 
     def __init__(self, now):
         self.kinds = {}
-        self.threshold = ALARM_NATS
         self._tests = Tests()
         self._runs = {}
         self._settled = set()
@@ -188,6 +176,7 @@
         self._query_ids = itertools.count(1)
         self._baseline_due = now + FIRST_BASELINE_S
         self._requery_due = None
+        self._quiet_until = now
 
     def run_started(self, run_id, kind, warm, now):
         """Take note of a run; without `warm` its service time is no evidence."""
@@ -237,9 +226,8 @@
             return False
         return None if end is RunEnd.CUT_SHORT else True
 
-    def restart(self, threshold=None):
-        """Forget suspicions, and use another threshold from now on if given."""
-        self.threshold = threshold or self.threshold
+    def restart(self):
+        """Forget suspicions, for example after a change of state."""
         self._suspicion = self._requery_due = None
         self._tests = Tests()
         self._settled = {run_id for run_id, run in self._runs.items() if run.counted}
@@ -271,24 +259,25 @@
         if baseline is None:
             return []
         failing = failure_nats(baseline.failure_share, run.failed, not run.failed)
-        slow = 0.0
+        slow, log_s = 0.0, None
         if run.warm and not run.failed:
-            slow = slow_nats(baseline, run.log_s(now))
+            log_s = run.log_s(now)
+            slow = slow_nats(baseline, log_s)
         for tests in (state.tests, self._tests):
-            tests.failing.add(failing, now)
-            tests.slow.add(slow, now)
+            tests.failing.add(failing, now, run.kind, log_s, run.failed)
+            tests.slow.add(slow, now, run.kind, log_s, run.failed)
         return self._suspect(run.kind, now)
 
     def _suspect(self, kind, now):
-        if self._suspicion is not None:
+        if self._suspicion is not None or now < self._quiet_until:
             return []
-        kinds, alarm = (kind,), self.kinds[kind].tests.alarm(self.threshold)
+        kinds, alarm = (kind,), self.kinds[kind].tests.alarm()
         if alarm is None:
-            kinds, alarm = tuple(self.kinds), self._tests.alarm(self.threshold)
+            kinds, alarm = tuple(self.kinds), self._tests.alarm()
         if alarm is None:
             return []
         query_id = next(self._query_ids)
-        self._suspicion = Suspicion(query_id, kinds, alarm.since, now)
+        self._suspicion = Suspicion(query_id, kinds, alarm, now)
         return [self._query(self._suspicion, now)]
 
     def _query(self, suspicion, now):
@@ -297,7 +286,7 @@
             Purpose.SUSPICION,
             suspicion.kinds,
             tuple(self.kinds[kind].cap_log() for kind in suspicion.kinds),
-            now - suspicion.since,
+            now - suspicion.alarm.since,
             QUERY_PEERS,
         )
 
@@ -309,30 +298,52 @@
         if replies and not peers and now - suspicion.raised < QUERY_LIMIT_S:
             self._requery_due = now + REQUERY_S
             return []
-        own = {
-            kind: state.evidence.summary(suspicion.since, now, state.cap_log())
-            for kind, state in self.kinds.items()
-            if kind in suspicion.kinds
-        }
         self._suspicion = None
-        score = max(
-            severity(own[kind], self.kinds[kind].baseline)
-            for kind in own
-            if self.kinds[kind].baseline
-        )
+        score = self._severity(suspicion.alarm)
         if not peers:
             self.restart()
-            return [Confirmed(suspicion.kinds, score, False)]
-        nats = [nats_against(own[kind], told) for kind, told in peers.items()]
-        total = max(sum(n[0] for n in nats), sum(n[1] for n in nats))
-        self.restart()
-        if total >= CONFIRM_NATS:
-            return [Confirmed(suspicion.kinds, score, True)]
-        # A shared cause: test against what the peers show now.
+            return [Confirmed(suspicion.kinds, score, False, False)]
+        slow, failing = self._against(suspicion.alarm, peers)
+        if max(slow, failing) >= CONFIRM_NATS:
+            self.restart()
+            return [Confirmed(suspicion.kinds, score, True, failing >= CONFIRM_NATS)]
+        self._quiet_until = now + REQUERY_S
+        self._use_shared_level(peers)
+        return []
+
+    def _against(self, alarm, peers):
+        """Return the nats of an alarm's runs against the median of the peers."""
+        slow, failing = 0.0, 0.0
+        for kind, told in peers.items():
+            usual = self.kinds[kind].baseline.at_level_of(told)
+            runs = [(log_s, failed) for k, log_s, failed in alarm.seen if k == kind]
+            failures = sum(failed for _, failed in runs)
+            share = usual.failure_share
+            failing += failure_nats(share, failures, len(runs) - failures)
+            logs = [log_s for log_s, _ in runs if log_s is not None]
+            slow += sum(slow_nats(usual, log_s) for log_s in logs)
+        return slow, failing
+
+    def _severity(self, alarm):
+        """Return ten times the failure share plus the mean log of the slowdown."""
+        excess = [
+            max(0.0, log_s - self.kinds[kind].baseline.median_log)
+            for kind, log_s, _ in alarm.seen
+            if log_s is not None
+        ]
+        share = sum(failed for *_, failed in alarm.seen) / len(alarm.seen)
+        return 10 * share + (sum(excess) / len(excess) if excess else 0.0)
+
+    def _use_shared_level(self, peers):
+        """Test against what the peers show now if they are all slow or failing."""
         for kind, told in peers.items():
             state = self.kinds[kind]
-            state.baseline = median_baseline(told) or state.baseline
-        return []
+            now_usual = state.baseline.at_level_of(told)
+            slower = now_usual.median_log - state.baseline.median_log > SLOW_LOG / 2
+            failing = now_usual.failure_share > FAILURE_SHARE
+            if slower or failing:
+                state.baseline = now_usual
+                self._tests = state.tests = Tests()
 
     def _comparable(self, suspicion, replies):
         """Return the usable summaries by kind, for kinds with enough of them."""
--- a/dandelionarch/core/ejection.py
+++ b/dandelionarch/core/ejection.py
@@ -93,17 +93,16 @@
         self._good = 0
         self._bad = 0
 
-    def judged(self, score, compared, now):
+    def judged(self, score, compared, sure, now):
         """Handle the detector's verdict that the endpoint is unhealthy.
 
-        The first one demotes it; a further one on later runs brings a claim, as a
-        few stragglers in a row bring a verdict too. Without comparison to peers
-        there is no claim.
+        It is demoted; a claim follows if the verdict is sure, or the second one on
+        later runs. Without comparison to peers there is no claim.
         """
         self.score, self._compared = score, compared
         if self.state is State.HEALTHY:
             self._decay(now)
-            return self._demote(now)
+            return self._demote(now) + (self._claim(now) if sure else [])
         if self.state is State.DEMOTED and now >= self._next_claim:
             return self._claim(now)
         return []
--- a/dandelionarch/core/evidence.py
+++ b/dandelionarch/core/evidence.py
@@ -112,6 +112,19 @@
     spread_log: float
     failure_share: float
 
+    def at_level_of(self, peers):
+        """Return the baseline moved to the peers' medians, if these are worse.
+
+        The spread stays: a short window has too few runs to estimate it.
+        """
+        logs = [p.median_log for p in peers if p.timed]
+        share = median(p.failure_share for p in peers)
+        return Baseline(
+            max(self.median_log, median(logs)) if logs else self.median_log,
+            self.spread_log,
+            max(self.failure_share, share),
+        )
+
 
 def median_baseline(summaries):
     """Return the `Baseline` in the middle of several summaries, or None."""
--- a/dandelionarch/core/health.py
+++ b/dandelionarch/core/health.py
@@ -1,12 +1,6 @@
 """Health of one endpoint: detection and ejection put together."""
 
-from dandelionarch.core.detection import (
-    ALARM_NATS,
-    PERSIST_NATS,
-    Confirmed,
-    Detector,
-    Purpose,
-)
+from dandelionarch.core.detection import Confirmed, Detector, Purpose
 from dandelionarch.core.ejection import Demote, Eject, Ejection, Restore, State
 from dandelionarch.core.world import Health
 
@@ -97,8 +91,8 @@
         out = []
         for command in commands:
             if isinstance(command, Confirmed):
-                score, compared = command.score, command.compared
-                out += self._changed(self.ejection.judged(score, compared, now))
+                verdict = (command.score, command.compared, command.sure)
+                out += self._changed(self.ejection.judged(*verdict, now))
             elif self._wanted(command):
                 out.append(command)
         return out
@@ -109,6 +103,5 @@
 
     def _changed(self, commands):
         if any(isinstance(c, Demote | Eject | Restore) for c in commands):
-            healthy = self.ejection.state is State.HEALTHY
-            self.detector.restart(ALARM_NATS if healthy else PERSIST_NATS)
+            self.detector.restart()
         return commands
