--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -31,6 +31,15 @@
     shared_key: str = pydantic.Field(min_length=16, max_length=256)
     log_url: str = pydantic.Field(pattern=r"^https?://")
 
+    @pydantic.field_validator("seeds")
+    @classmethod
+    def _check_seeds(cls, seeds):
+        for seed in filter(None, (part.strip() for part in seeds.split(","))):
+            host, _, port = seed.rpartition(":")
+            if not host or not port.isdecimal() or not 1 <= int(port) <= 65_535:
+                raise ValueError(f"{seed!r} is not HOST:PORT with port 1 to 65535")
+        return seeds
+
     @property
     def seed_addresses(self):
         """Return the peer addresses (host, port) of the seeds."""
@@ -38,15 +47,32 @@
         return [(host, int(port)) for host, _, port in pairs if host]
 
 
+class LogSection(_Section):
+    """`[log]`: how long the platform's log keeps records.
+
+    Checkpoints are appended at a quarter of it; 0 records means no limit by count.
+    """
+
+    retention_s: float = pydantic.Field(default=86_400.0, ge=10, le=31_536_000)
+    retention_records: int = pydantic.Field(default=0, ge=0, le=1_000_000_000)
+
+
 class LimitsSection(_Section):
     """`[limits]`: bounds on what one request or one daemon may take."""
 
     max_request_body_bytes: int = pydantic.Field(default=8 << 20, ge=1024, le=1 << 30)
     max_response_body_bytes: int = pydantic.Field(default=64 << 20, ge=1024, le=1 << 32)
+    max_connections: int = pydantic.Field(default=4000, ge=1, le=100_000)
     max_in_flight: int = pydantic.Field(default=2000, ge=1, le=100_000)
     stop_timeout_s: float = pydantic.Field(default=30.0, ge=0.1, le=3600)
 
 
+class OrdersSection(_Section):
+    """`[orders]`: how long an idempotency key is remembered."""
+
+    window_s: float = pydantic.Field(default=3600.0, ge=1, le=7 * 86_400)
+
+
 class StatsdSection(_Section):
     """`[statsd]`: where metrics go; none are sent without a host."""
 
@@ -62,21 +88,33 @@
     style: Literal["kv", "json"] = "kv"
 
 
+class FaultsSection(_Section):
+    """`[faults]`: fault injection for tests; never enabled where callers are served."""
+
+    enabled: bool = False
+
+
 class Settings(pydantic.BaseModel):
     """All settings of a daemon."""
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
     daemon: DaemonSection
+    log: LogSection = LogSection()
     limits: LimitsSection = LimitsSection()
+    orders: OrdersSection = OrdersSection()
     statsd: StatsdSection = StatsdSection()
+    faults: FaultsSection = FaultsSection()
     logs: LogsSection = LogsSection()
 
 
 SECTIONS = {
     "daemon": DaemonSection,
+    "log": LogSection,
     "limits": LimitsSection,
+    "orders": OrdersSection,
     "statsd": StatsdSection,
+    "faults": FaultsSection,
     "logs": LogsSection,
 }
 
@@ -107,4 +145,14 @@
         )
     if "daemon" not in parts:
         raise SettingsError(file, "daemon", "-", "section is missing")
-    return Settings(**parts)
+    settings = Settings(**parts)
+    _check_window(file, settings)
+    return settings
+
+
+def _check_window(file, settings):
+    # A claim that is truncated within the window could be granted a second time.
+    limit_s = settings.log.retention_s / 2
+    if settings.orders.window_s > limit_s:
+        problem = f"must be at most half of [log] retention_s ({limit_s:g} s)"
+        raise SettingsError(file, "orders", "window_s", problem)
--- /dev/null
+++ b/dandelionarch/daemon/streams.py
@@ -0,0 +1,238 @@
+"""Task that keeps this daemon's copies of the log's streams up to date."""
+
+import asyncio
+import logging
+import random
+import uuid
+
+from dandelionarch.core.messages import streams as msgs
+from dandelionarch.core.parts import EntryKind, split
+from dandelionarch.core.relay import (
+    TICK_PERIOD_S,
+    AppendCheckpoint,
+    Applied,
+    ReadLog,
+    Restored,
+    Send,
+    StreamNode,
+)
+from dandelionarch.errors import (
+    LinkError,
+    OffsetTruncatedError,
+    PlatformError,
+    PlatformUnavailableError,
+)
+from dandelionarch.ids import Offset
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+READ_LIMIT = 200
+# After an append without an answer the log counts as unavailable for this long,
+# unless a later append succeeds.
+APPEND_FAILED_S = 5.0
+
+
+class StreamService:
+    """Copies of streams, folded in log order and relayed between daemons.
+
+    Parameters
+    ----------
+    client : LogClient
+        Reads from and appends to the platform's log.
+    network : PeerNetwork
+    directory : Directory
+        Source of the living members.
+    vm : Vm
+        This daemon's VM.
+    retention : Retention
+    seeds : list of (host, port)
+        Peer addresses from the settings.
+    """
+
+    def __init__(self, client, network, directory, vm, retention, seeds=()):
+        self._client = client
+        self._network = network
+        self._directory = directory
+        self._vm = vm
+        self._retention = retention
+        self._seeds = [s for s in seeds if s != (vm.host, vm.peer_port)]
+        self._folds = {}
+        self._applied = {}
+        self._restored = {}
+        self._ready = []
+        self._was_ready = False
+        self._node = self._new_node()
+        self._members_changed = True
+        self._append_failed_at = float("-inf")
+        self._was_available = True
+        directory.on_change(self._note_change)
+        for cls in msgs.MESSAGES:
+            network.subscribe(cls, self._on_message)
+
+    def add_fold(self, fold):
+        """Follow `fold.stream` with a `Fold`; call it before `run`."""
+        self._folds[fold.stream] = fold
+        self._node = self._new_node()
+
+    def on_applied(self, stream, callback):
+        """Call `callback(record, result)` after each applied record of a stream."""
+        self._applied.setdefault(stream, []).append(callback)
+
+    def on_restored(self, stream, callback):
+        """Call `callback()` when a fold's state was replaced by a newer snapshot.
+
+        The records behind the snapshot are not reported one by one.
+        """
+        self._restored.setdefault(stream, []).append(callback)
+
+    def on_ready(self, callback):
+        """Call `callback()` once when `ready` becomes True."""
+        self._ready.append(callback)
+
+    @property
+    def ready(self):
+        """Return True once every fold's state is known to be recent.
+
+        It came from the log or, while the log did not answer, from three peers.
+        """
+        return self._node.ready
+
+    @property
+    def available(self):
+        """Return False while the log does not answer, as far as known here."""
+        failed_s = self._network.now() - self._append_failed_at
+        return self._node.available and failed_s > APPEND_FAILED_S
+
+    def offsets(self):
+        """Return the next offset of each stream."""
+        return self._node.offsets()
+
+    def peer_offsets(self, vm_id, offsets):
+        """Note the offsets that a peer's ping shows, by stream."""
+        self._execute(self._node.peer_offsets(vm_id, offsets, self._network.now()))
+
+    async def append(self, stream, data, record_id=None):
+        """Append one record and return the offset at which it takes effect.
+
+        Parameters
+        ----------
+        stream : str
+        data : bytes
+        record_id : str, optional
+            A repeat with the same id counts once.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the result is not known; repeat with the same id to make sure.
+        EntryError
+            If the record is too large; nothing was appended.
+        """
+        return await self._append(split(record_id or uuid.uuid4().hex, data), stream)
+
+    async def run(self):
+        """Follow all streams until cancelled."""
+        while True:
+            if self._members_changed:
+                self._members_changed = False
+                self._node.set_members(
+                    {
+                        vm.vm_id: (vm.data_centre, (vm.host, vm.peer_port))
+                        for vm in self._directory.living_vms()
+                    }
+                )
+            self._execute(self._node.tick(self._network.now()))
+            if self._was_available != self.available:
+                self._was_available = self.available
+                event(log, "log_availability", available=self._was_available)
+            await asyncio.sleep(TICK_PERIOD_S)
+
+    def _new_node(self):
+        return StreamNode(
+            self._vm.vm_id,
+            self._vm.data_centre,
+            list(self._folds.values()),
+            self._retention,
+            random.Random(),
+            self._seeds,
+        )
+
+    def _note_change(self, _thing):
+        self._members_changed = True
+
+    def _on_message(self, link, msg):
+        commands = self._node.on_message(link.vm_id, msg, self._network.now())
+        self._execute(commands)
+
+    def _execute(self, commands):
+        for command in commands:
+            if isinstance(command, Send):
+                self._network.spawn(self._send(command))
+            elif isinstance(command, ReadLog):
+                self._network.spawn(self._read(command))
+            elif isinstance(command, AppendCheckpoint):
+                self._network.spawn(self._append_checkpoint(command))
+            else:
+                self._report(command)
+        if self.ready and not self._was_ready:
+            self._was_ready = True
+            event(log, "streams_ready", **self.offsets())
+            for callback in self._ready:
+                callback()
+
+    def _report(self, command):
+        if isinstance(command, Restored):
+            event(log, "state_restored", stream=command.stream)
+            for callback in self._restored.get(command.stream, ()):
+                callback()
+        elif isinstance(command, Applied):
+            for callback in self._applied.get(command.stream, ()):
+                callback(command.record, command.result)
+
+    async def _send(self, command):
+        try:
+            await self._network.send(command.vm_id, command.msg)
+        except LinkError as exc:
+            event(log, "relay_failed", vm=command.vm_id, detail=str(exc))
+
+    async def _read(self, command):
+        node, now = self._node, self._network.now
+        try:
+            entries = await self._client.read(
+                command.stream, command.start, READ_LIMIT, command.wait_ms
+            )
+        except OffsetTruncatedError as exc:
+            first = exc.first_offset
+            event(log, "offset_truncated", stream=command.stream, first=first)
+            commands = node.on_truncated(command.stream, first, now())
+        except PlatformError as exc:
+            event(log, "read_failed", stream=command.stream, detail=str(exc))
+            commands = node.on_read_failed(command.stream, now())
+        else:
+            log_now = self._client.log_time_s
+            commands = node.on_read(command.stream, entries, log_now, now())
+        self._execute(commands)
+
+    async def _append(self, entries, stream):
+        offset = Offset(0)
+        try:
+            for entry in entries:
+                offset = await self._client.append(stream, entry)
+        except PlatformUnavailableError:
+            self._append_failed_at = self._network.now()
+            raise
+        self._append_failed_at = float("-inf")
+        return offset
+
+    async def _append_checkpoint(self, command):
+        entries = split(command.record_id, command.data, EntryKind.CHECKPOINT)
+        try:
+            offset = await self._append(entries, command.stream)
+        except PlatformError as exc:
+            event(log, "checkpoint_unknown", stream=command.stream, detail=str(exc))
+            return
+        size = len(command.data)
+        event(
+            log, "checkpoint_appended", stream=command.stream, offset=offset, bytes=size
+        )
