--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -12,6 +12,10 @@
 # work that came later by more than the difference of their costs.
 AGEING_PER_S = 1.0
 RETRY_AFTER_MIN_S = 0.05
+# A redirect within a data centre takes about 1 ms; waiting for this long, or for a
+# tenth of the work's own cost, is dearer.
+MOVE_WAIT_S = 0.020
+MOVE_COST_SHARE = 0.1
 
 
 class AdmissionQueue(ABC):
@@ -33,8 +37,16 @@
         """Return the number of requests that wait."""
 
     @abstractmethod
-    def offer(self, item, now=0.0, key="", deadline=math.inf, priority=0):
-        """Return "run", "wait" or "refuse" for a new request.
+    def offer(
+        self,
+        item,
+        now=0.0,
+        key="",
+        deadline=math.inf,
+        priority=0,
+        may_wait=True,
+    ):
+        """Return "run", "wait", "busy" or "refuse" for a new request.
 
         Parameters
         ----------
@@ -48,6 +60,9 @@
             Time in seconds by which the request must have ended.
         priority : int
             Priority of the customer's plan; 0 is refused last.
+        may_wait : bool
+            False if the ingress will try another endpoint on "busy", the refusal of
+            a request that could wait here.
         """
 
     @abstractmethod
@@ -87,7 +102,15 @@
     def queued(self):
         return len(self._queue)
 
-    def offer(self, item, now=0.0, key="", deadline=math.inf, priority=0):
+    def offer(
+        self,
+        item,
+        now=0.0,
+        key="",
+        deadline=math.inf,
+        priority=0,
+        may_wait=True,
+    ):
         if self.running < self.slots:
             self.running += 1
             return "run"
@@ -134,14 +157,6 @@
     def __lt__(self, other):
         return self.order < other.order
 
-    def remaining_s(self, now):
-        """Return the time that a running request is expected to go on.
-
-        One that runs for longer than expected is assumed to go on for as long as
-        it has overrun.
-        """
-        return abs(self.started + self.cost_s - now)
-
 
 @dataclass(frozen=True, slots=True)
 class QueueRules:
@@ -188,7 +203,15 @@
     def queued(self):
         return len(self._waiting)
 
-    def offer(self, item, now=0.0, key="", deadline=math.inf, priority=0):
+    def offer(
+        self,
+        item,
+        now=0.0,
+        key="",
+        deadline=math.inf,
+        priority=0,
+        may_wait=True,
+    ):
         job = self._job(item, now, key, deadline, priority)
         if self._may_start(job):
             if self.rules.refuse_late and now + job.cost_s > deadline:
@@ -196,7 +219,7 @@
             self._start(job, now)
             return "run"
         self._drop_late(now)
-        return "wait" if self._admit(job, now) else "refuse"
+        return self._admit(job, now, may_wait)
 
     def withdraw(self, item):
         job = self._by_item.pop(item, None)
@@ -221,7 +244,7 @@
     def retry_after_s(self, now):
         """Return the time in which the work that runs and waits would be done."""
         work_s = sum(job.cost_s for job in self._waiting)
-        work_s += sum(job.remaining_s(now) for job in self._running.values())
+        work_s += sum(self._remaining_s(job, now) for job in self._running.values())
         return max(RETRY_AFTER_MIN_S, work_s / self.slots)
 
     def _job(self, item, now, key, deadline, priority):
@@ -263,8 +286,8 @@
             self.withdraw(job.item)
             self._evicted.append(job.item)
 
-    def _admit(self, new, now):
-        """Let a request wait if room can be made for it; return True if it waits."""
+    def _admit(self, new, now, may_wait):
+        """Let a request wait if room can be made for it; return the verdict."""
         waiting = list(self._waiting)
         before = self._late(waiting, now)
         insort(waiting, new)
@@ -272,15 +295,19 @@
         while (blocked := self._blocked(waiting, before, now)) is not None:
             victim = self._least(waiting[:blocked], new)
             if victim is new:
-                return False
+                return "refuse"
             waiting.remove(victim)
             victims.append(victim)
+        if not may_wait:
+            wait_s = self._starts(waiting, now)[new] - now
+            if victims or wait_s > MOVE_WAIT_S + MOVE_COST_SHARE * new.cost_s:
+                return "busy"
         for job in victims:
             self.withdraw(job.item)
             self._evicted.append(job.item)
         insort(self._waiting, new)
         self._by_item[new.item] = new
-        return True
+        return "wait"
 
     def _blocked(self, waiting, before, now):
         """Return how many requests compete for too little room, or None."""
@@ -301,20 +328,29 @@
         """Return which of the waiting requests would end after their deadlines."""
         if not self.rules.refuse_late:
             return set()
-        running = self._running.values()
-        free = [now] * (self.slots - self.running)
-        free += [now + job.remaining_s(now) for job in running]
-        long_ends = [now + job.remaining_s(now) for job in running if job.long]
-        late = set()
+        return set(waiting) - self._starts(waiting, now).keys()
+
+    def _remaining_s(self, job, now):
+        return self.costs.residual_s(job.key, now - job.started)
+
+    def _starts(self, waiting, now):
+        """Return when those of the waiting requests start that will end in time."""
+        ends = [
+            (now + self._remaining_s(job, now), job.long)
+            for job in self._running.values()
+        ]
+        free = [now] * (self.slots - self.running) + [end for end, _ in ends]
+        long_ends = [end for end, long in ends if long]
+        starts = {}
         for job in waiting:
             start = min(free)
             if job.long and len(long_ends) >= self._open_to_long:
                 start = max(start, min(long_ends))
             end = start + job.cost_s
-            if end > job.deadline:
-                late.add(job)
+            if self.rules.refuse_late and end > job.deadline:
                 continue
+            starts[job] = start
             free[free.index(max(t for t in free if t <= start))] = end
             if job.long:
                 long_ends = [t for t in long_ends if t > start] + [end]
-        return late
+        return starts
--- a/dandelionarch/core/costs.py
+++ b/dandelionarch/core/costs.py
@@ -7,22 +7,57 @@
 WEIGHT = 0.05
 DEFAULT_COST_S = 0.05
 MEDIAN_WINDOW = 127
+RESIDUAL_WINDOW = 255
 # One straggler may not make its kind of work look many times dearer.
 MAX_DEVIATION = math.log(8)
 LONG_FACTOR = 4.0
 
 
+class RecentTimes:
+    """The last service times, by age and in rising order."""
+
+    __slots__ = ("_by_age", "_size", "sorted")
+
+    def __init__(self, size):
+        self.sorted = []
+        self._by_age = deque()
+        self._size = size
+
+    def add(self, seconds):
+        """Add one time; the oldest leaves when there are too many."""
+        self._by_age.append(seconds)
+        insort(self.sorted, seconds)
+        if len(self._by_age) > self._size:
+            oldest = self._by_age.popleft()
+            del self.sorted[bisect_left(self.sorted, oldest)]
+
+
 class CostEstimate:
     """Exponentially weighted mean and variance of the logarithm of a service time."""
 
-    __slots__ = ("_mean", "_variance")
+    __slots__ = ("_mean", "_recent", "_variance")
 
     def __init__(self, first_s):
         self._mean = math.log(first_s)
         self._variance = 0.0
+        self._recent = RecentTimes(RESIDUAL_WINDOW)
+        self._recent.add(first_s)
+
+    def residual_s(self, elapsed_s):
+        """Return how much longer a run of this age took on average.
+
+        One that is older than all recent ones is assumed to go on for as long as it
+        has run, as stragglers do.
+        """
+        times = self._recent.sorted
+        longer = times[bisect_left(times, elapsed_s) :]
+        if not longer:
+            return elapsed_s
+        return sum(longer) / len(longer) - elapsed_s
 
     def observe(self, seconds):
         """Take note of one service time."""
+        self._recent.add(seconds)
         deviation = math.log(seconds) - self._mean
         deviation = max(-MAX_DEVIATION, min(MAX_DEVIATION, deviation))
         self._mean += WEIGHT * deviation
@@ -46,8 +81,7 @@
     def __init__(self, default_s=DEFAULT_COST_S):
         self._default_s = default_s
         self._estimates = {}
-        self._recent = deque()
-        self._sorted = []
+        self._recent = RecentTimes(MEDIAN_WINDOW)
 
     def cost(self, key):
         """Return the expected service time of a kind of work in seconds."""
@@ -56,7 +90,15 @@
 
     def median(self):
         """Return the median of the recent service times in seconds, or None."""
-        return self._sorted[len(self._sorted) // 2] if self._sorted else None
+        times = self._recent.sorted
+        return times[len(times) // 2] if times else None
+
+    def residual_s(self, key, elapsed_s):
+        """Return how much longer a run of this age is expected to take, in seconds."""
+        estimate = self._estimates.get(key)
+        if estimate is None:
+            return max(self._default_s - elapsed_s, elapsed_s)
+        return estimate.residual_s(elapsed_s)
 
     def is_long(self, key):
         """Return True if the cost is above 4 times the median of the service."""
@@ -71,8 +113,4 @@
             self._estimates[key] = CostEstimate(seconds)
         else:
             estimate.observe(seconds)
-        self._recent.append(seconds)
-        insort(self._sorted, seconds)
-        if len(self._recent) > MEDIAN_WINDOW:
-            oldest = self._recent.popleft()
-            del self._sorted[bisect_left(self._sorted, oldest)]
+        self._recent.add(seconds)
--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -13,6 +13,7 @@
     {
         Reason.NO_ENDPOINT,
         Reason.LINK_DOWN,
+        Reason.BUSY,
         Reason.QUEUE_FULL,
         Reason.TOO_LATE,
         Reason.DRAINING,
@@ -44,6 +45,7 @@
 
     endpoint: object
     decision: object
+    may_wait: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +82,9 @@
         attempt now; `proven` says that the last one was not run.
     retry_after : callable
         `retry_after(least_s)` returns the `Retry-After` of a refusal in seconds.
+    reserve : callable
+        Returns a function that gives a reserved redirect back, or None if there is
+        none. With one, the first endpoint may turn the request away if it is busy.
     """
 
     def __init__(
@@ -90,6 +95,7 @@
         rng,
         may_retry=lambda reason, proven: True,
         retry_after=None,
+        reserve=lambda: None,
     ):
         self.work = work
         self.deadline = deadline
@@ -100,6 +106,8 @@
         self._rng = rng
         self._may_retry = may_retry
         self._retry_after = retry_after or self._spread
+        self._reserve = reserve
+        self._give_back = None
         self._least_s = 0.0
         self._may_have_run = False
 
@@ -110,11 +118,16 @@
     def not_run(self, reason, now, retry_after_s=0.0):
         """Handle a proof that the current attempt was not run."""
         self._least_s = retry_after_s
+        if reason is Reason.BUSY and self._give_back is not None:
+            self._give_back = None
+            return self._dispatch(reason, now)
+        self._settle()
         return self._again(reason, now, proven=True)
 
     def failed(self, reason, now):
         """Handle an attempt that ended after the endpoint may have seen it."""
         self._may_have_run = True
+        self._settle()
         if not self.work.idempotent:
             return self._refuse(reason)
         return self._again(reason, now, proven=False)
@@ -122,8 +135,14 @@
     def answered(self):
         """Handle a whole answer."""
         self.finished = True
+        self._settle()
         return Deliver(whole=True)
 
+    def _settle(self):
+        if self._give_back is not None:
+            self._give_back()
+            self._give_back = None
+
     def expired(self):
         """Handle the end of the time budget."""
         self._may_have_run = True
@@ -138,12 +157,16 @@
 
     def _dispatch(self, reason, now):
         decision = self._choose(self.work.service, frozenset(self.tried))
+        if decision.chosen is None and reason is Reason.BUSY:
+            decision = self._choose(self.work.service, frozenset())
         if decision.chosen is None:
             return self._refuse(reason)
+        if self.attempts == 0 and len(decision.candidates) > 1:
+            self._give_back = self._reserve()
         self.attempts += 1
         endpoint = decision.chosen.endpoint
         self.tried.add(endpoint.endpoint_id)
-        return Dispatch(endpoint, decision)
+        return Dispatch(endpoint, decision, self._give_back is None)
 
     def _refuse(self, reason):
         self.finished = True
--- a/dandelionarch/core/outcome.py
+++ b/dandelionarch/core/outcome.py
@@ -17,6 +17,7 @@
     NO_ENDPOINT = "no_endpoint"
     LINK_DOWN = "link_down"
     LINK_LOST = "link_lost"
+    BUSY = "busy"
     QUEUE_FULL = "queue_full"
     TOO_LATE = "too_late"
     DRAINING = "draining"
--- a/dandelionarch/core/retries.py
+++ b/dandelionarch/core/retries.py
@@ -9,6 +9,8 @@
 WINDOW_S = 10
 # Lets single retries pass while there are too few requests for a share of them.
 FLOOR = 3
+# Redirects from busy endpoints leave the rest of the budget to real failures.
+RESERVE_SHARE = 0.08
 OVERLOAD_SHARE = 0.05
 RETURN_SHARE = 0.5
 RETURN_MIN_S = 1.0
@@ -29,13 +31,21 @@
         self._seconds = deque()
 
     def add(self, now):
-        """Count one event."""
+        """Count one event; return its second."""
         self.expire(now)
         second = math.floor(now)
         if not self._seconds or self._seconds[-1][0] != second:
             self._seconds.append([second, 0])
         self._seconds[-1][1] += 1
         self.total += 1
+        return second
+
+    def remove(self, second):
+        """Take back one event of a second that `add` returned."""
+        for entry in self._seconds:
+            if entry[0] == second and entry[1]:
+                entry[1] -= 1
+                self.total -= 1
 
     def expire(self, now):
         """Forget what has left the window."""
@@ -79,10 +89,24 @@
             self._refused.add(now)
         if proven and reason not in LOAD_REASONS and not self.overloaded:
             return True
-        if self._further.total + 1 > max(FLOOR, RETRY_SHARE * self._first.total):
-            return False
-        self._further.add(now)
-        return True
+        return self._take(now) is not None
+
+    def reserve(self, now):
+        """Return a function that gives a reserved attempt back, or None if refused.
+
+        A request whose redirect is reserved may be turned away by a busy endpoint.
+        """
+        for count in (self._first, self._further):
+            count.expire(now)
+        second = self._take(now, RESERVE_SHARE)
+        if second is None:
+            return None
+        return lambda: self._further.remove(second)
+
+    def _take(self, now, share=RETRY_SHARE):
+        if self._further.total + 1 > max(FLOOR, share * self._first.total):
+            return None
+        return self._further.add(now)
 
     @property
     def overloaded(self):
--- a/dandelionarch/core/shedding.py
+++ b/dandelionarch/core/shedding.py
@@ -3,9 +3,10 @@
 import math
 
 # Work per slot at which the lowest plan starts to be shed, and at which every plan
-# but the highest is.
-START_LOAD = 1.0
-FULL_LOAD = 1.5
+# but the highest is. One request that waits per slot keeps the slots busy; starting
+# at 1.0 left 11% more of the capacity idle at a crest of 1.5 times the capacity.
+START_LOAD = 2.0
+FULL_LOAD = 3.5
 REPORT_WEIGHT = 0.1
 # A load that was not told again for this long counts no more.
 REPORT_LIFE_S = 2.0
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -100,6 +100,7 @@
         costs = known_costs()
         costs.observe = lambda key, seconds: None
         costs.cost = COSTS_S.get
+        costs.residual_s = lambda key, elapsed_s: COSTS_S[key] - elapsed_s
         replay = Replay(CostQueue(slots, costs), exact)
         assert ["wait", "refuse"] not in replay.verdicts.values()
 
