--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -25,6 +25,9 @@
     }
 )
 
+# The connection failed, not the endpoint: the same endpoint may be tried again.
+LINK_FAULTS = frozenset({Reason.LINK_LOST, Reason.WORKER_LINK})
+
 
 @dataclass(frozen=True, slots=True)
 class Work:
@@ -82,6 +85,8 @@
         attempt now; `proven` says that the last one was not run.
     retry_after : callable
         `retry_after(least_s)` returns the `Retry-After` of a refusal in seconds.
+    replayable : callable
+        Returns False once a part of the caller's body that is not kept was taken.
     reserve : callable
         Returns a function that gives a reserved redirect back, or None if there is
         none. With one, the first endpoint may turn the request away if it is busy.
@@ -95,6 +100,7 @@
         rng,
         may_retry=lambda reason, proven: True,
         retry_after=None,
+        replayable=lambda: True,
         reserve=lambda: None,
     ):
         self.work = work
@@ -102,6 +108,10 @@
         self.attempts = 0
         self.tried = set()
         self.finished = False
+        self.answer = None
+        self.caller_error = None
+        self._current = None
+        self._sent = False
         self._choose = choose
         self._rng = rng
         self._may_retry = may_retry
@@ -109,14 +119,20 @@
         self._reserve = reserve
         self._give_back = None
         self._least_s = 0.0
+        self._replayable = replayable
         self._may_have_run = False
 
     def start(self, now):
         """Return the first command."""
         return self._dispatch(Reason.NO_ENDPOINT, now)
 
+    def sent(self):
+        """Note that the current attempt is on its way to the agent."""
+        self._sent = True
+
     def not_run(self, reason, now, retry_after_s=0.0):
         """Handle a proof that the current attempt was not run."""
+        self._sent = False
         self._least_s = retry_after_s
         if reason is Reason.BUSY and self._give_back is not None:
             self._give_back = None
@@ -126,10 +142,13 @@
 
     def failed(self, reason, now):
         """Handle an attempt that ended after the endpoint may have seen it."""
+        self._sent = False
         self._may_have_run = True
         self._settle()
-        if not self.work.idempotent:
+        if not self.work.idempotent or reason is Reason.DEADLINE:
             return self._refuse(reason)
+        if reason in LINK_FAULTS:
+            self.tried.discard(self._current)
         return self._again(reason, now, proven=False)
 
     def answered(self):
@@ -143,14 +162,20 @@
             self._give_back()
             self._give_back = None
 
+    def abandoned(self, reason):
+        """Handle the end of the request while an attempt may be on its way."""
+        self._may_have_run = self._may_have_run or self._sent
+        return self._refuse(reason)
+
     def expired(self):
         """Handle the end of the time budget."""
-        self._may_have_run = True
-        return self._refuse(Reason.DEADLINE)
+        return self.abandoned(Reason.DEADLINE)
 
     def _again(self, reason, now, proven):
         if now >= self.deadline or self.attempts >= MAX_ATTEMPTS:
             return self._refuse(reason)
+        if not self._replayable():
+            return self._refuse(reason)
         if not self._may_retry(reason, proven):
             return self._refuse(Reason.RETRY_BUDGET)
         return self._dispatch(reason, now)
@@ -166,6 +191,7 @@
         self.attempts += 1
         endpoint = decision.chosen.endpoint
         self.tried.add(endpoint.endpoint_id)
+        self._current = endpoint.endpoint_id
         return Dispatch(endpoint, decision, self._give_back is None)
 
     def _refuse(self, reason):
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -29,6 +29,7 @@
   headers @11 :List(Header);
   data @12 :Data;
   last @13 :Bool;
+  mayWait @14 :Bool;
 }
 
 struct RequestChunk {
--- /dev/null
+++ b/tests/test_refusals.py
@@ -0,0 +1,34 @@
+"""Endpoints that refuse are left out for a moment."""
+
+from dandelionarch.core.refusals import FIRST_HOLD_S, MAX_HOLD_S, RefusalMemory
+
+
+class TestRefusalMemory:
+    """A refusal holds an endpoint back, longer each time."""
+
+    def test_hold_doubles_up_to_its_limit(self):
+        """Guards against an endpoint that draws work by refusing it."""
+        memory, now, holds = RefusalMemory(), 0.0, []
+        for _ in range(8):
+            memory.refused("w", now)
+            start = now
+            while memory.holds("w", now):
+                now += 0.01
+            holds.append(now - start)
+        assert abs(holds[0] - FIRST_HOLD_S) < 0.02
+        assert abs(holds[1] - 2 * FIRST_HOLD_S) < 0.02
+        assert abs(holds[-1] - MAX_HOLD_S) < 0.02
+
+    def test_refusals_of_requests_sent_together_count_once(self):
+        """Guards against a long hold after one moment of load."""
+        memory = RefusalMemory()
+        for _ in range(10):
+            memory.refused("w", 1.0)
+        assert not memory.holds("w", 1.0 + FIRST_HOLD_S)
+
+    def test_answer_ends_the_hold(self):
+        """Guards against leaving out an endpoint that takes work again."""
+        memory = RefusalMemory()
+        memory.refused("w", 1.0)
+        memory.taken("w")
+        assert not memory.holds("w", 1.0)
