--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -13,6 +13,7 @@
     {
         Reason.NO_ENDPOINT,
         Reason.LINK_DOWN,
+        Reason.BUSY,
         Reason.QUEUE_FULL,
         Reason.TOO_LATE,
         Reason.DRAINING,
@@ -47,6 +48,7 @@
 
     endpoint: object
     decision: object
+    may_wait: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,9 +85,11 @@
         attempt now; `proven` says that the last one was not run.
     retry_after : callable
         `retry_after(least_s)` returns the `Retry-After` of a refusal in seconds.
-        Returns True if the retry budget allows another attempt now.
     replayable : callable
         Returns False once a part of the caller's body that is not kept was taken.
+    reserve : callable
+        Returns a function that gives a reserved redirect back, or None if there is
+        none. With one, the first endpoint may turn the request away if it is busy.
     """
 
     def __init__(
@@ -97,6 +101,7 @@
         may_retry=lambda reason, proven: True,
         retry_after=None,
         replayable=lambda: True,
+        reserve=lambda: None,
     ):
         self.work = work
         self.deadline = deadline
@@ -111,6 +116,8 @@
         self._rng = rng
         self._may_retry = may_retry
         self._retry_after = retry_after or self._spread
+        self._reserve = reserve
+        self._give_back = None
         self._least_s = 0.0
         self._replayable = replayable
         self._may_have_run = False
@@ -127,12 +134,17 @@
         """Handle a proof that the current attempt was not run."""
         self._sent = False
         self._least_s = retry_after_s
+        if reason is Reason.BUSY and self._give_back is not None:
+            self._give_back = None
+            return self._dispatch(reason, now)
+        self._settle()
         return self._again(reason, now, proven=True)
 
     def failed(self, reason, now):
         """Handle an attempt that ended after the endpoint may have seen it."""
         self._sent = False
         self._may_have_run = True
+        self._settle()
         if not self.work.idempotent or reason is Reason.DEADLINE:
             return self._refuse(reason)
         if reason in LINK_FAULTS:
@@ -142,8 +154,14 @@
     def answered(self):
         """Handle a whole answer."""
         self.finished = True
+        self._settle()
         return Deliver(whole=True)
 
+    def _settle(self):
+        if self._give_back is not None:
+            self._give_back()
+            self._give_back = None
+
     def abandoned(self, reason):
         """Handle the end of the request while an attempt may be on its way."""
         self._may_have_run = self._may_have_run or self._sent
@@ -164,13 +182,17 @@
 
     def _dispatch(self, reason, now):
         decision = self._choose(self.work.service, frozenset(self.tried))
+        if decision.chosen is None and reason is Reason.BUSY:
+            decision = self._choose(self.work.service, frozenset())
         if decision.chosen is None:
             return self._refuse(reason)
+        if self.attempts == 0 and len(decision.candidates) > 1:
+            self._give_back = self._reserve()
         self.attempts += 1
         endpoint = decision.chosen.endpoint
         self.tried.add(endpoint.endpoint_id)
         self._current = endpoint.endpoint_id
-        return Dispatch(endpoint, decision)
+        return Dispatch(endpoint, decision, self._give_back is None)
 
     def _refuse(self, reason):
         self.finished = True
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -30,6 +30,8 @@
 # cancellation comes first, and nothing is learnt about the endpoint.
 DEADLINE_MARGIN_S = 0.02
 
+REFUSALS = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
+
 
 class Run:
     """One attempt at the agent: its body as it arrives, and its sending window."""
@@ -157,9 +159,11 @@
         if reason is None:
             now = asyncio.get_running_loop().time()
             deadline = now + head.budget_ms / 1000
-            verdict = local.queue.offer(run, now, head.route, deadline, head.priority)
+            verdict = local.queue.offer(
+                run, now, head.route, deadline, head.priority, head.may_wait
+            )
             self._refuse_evicted(local)
-            reason = Reason.QUEUE_FULL if verdict == "refuse" else None
+            reason = REFUSALS.get(verdict)
         if reason is not None:
             self._refuse(run, local, reason)
             return
@@ -168,6 +172,8 @@
         if verdict == "run":
             run.started.set()
         run.task = asyncio.get_running_loop().create_task(self._run(run, local))
+        # A task that is cancelled before its first step runs no `finally`.
+        run.task.add_done_callback(lambda _: self._ended(run, local))
 
     def _refusal_reason(self, local):
         if self.stopping:
@@ -234,12 +240,10 @@
             self._refuse(run, local, Reason.TOO_LATE)
         except asyncio.CancelledError:
             event(log, "run_cancelled", request=head.request_id)
-        finally:
-            run.link.end()
-            self._runs.pop((run.link, head.attempt_id), None)
-            self._release(run, local)
 
-    def _release(self, run, local):
+    def _ended(self, run, local):
+        run.link.end()
+        self._runs.pop((run.link, run.head.attempt_id), None)
         if not run.started.is_set():
             local.queue.withdraw(run)
             return
