--- a/dandelionarch/daemon/gossip.py
+++ b/dandelionarch/daemon/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import random
 from collections import Counter
@@ -312,8 +313,14 @@
         self._carry_out(self.membership.set_endpoints(map(endpoint_record, own)))
 
     def _on_leaving(self, link, msg):
+        if link.vm_id != msg.vm_id:
+            return
+        vm = self._directory.vms.get(msg.vm_id)
+        if vm is not None and vm.state is not VmState.DEAD:
+            # In force at once, also before the membership knows the sender.
+            self._directory.put_vm(dataclasses.replace(vm, state=VmState.LEAVING))
         known = self.membership.table.records.get(msg.vm_id)
-        if known is None or link.vm_id != msg.vm_id or known.state == table_of.DEAD:
+        if known is None or known.state == table_of.DEAD:
             return
         said = msgs.MemberVerdict(
             known.vm_id, known.incarnation, known.edition, VmState.LEAVING.value
--- a/dandelionarch/measure/processes.py
+++ b/dandelionarch/measure/processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import hashlib
+import itertools
 import os
 import signal
 import socket
@@ -15,6 +16,9 @@
 SHARED_KEY = "0123456789abcdef-test"
 START_TIMEOUT_S = 20.0
 CUSTOMER_KEY = "key-of-shop"
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+PORTS_PER_PROCESS = 331
 
 DAEMON_SETTINGS = """\
 [daemon]
@@ -63,15 +67,33 @@
 """
 
 
+def _port_numbers():
+    """Yield port numbers below the range that the kernel gives to clients.
+
+    Each process begins elsewhere, so that runs at the same time rarely meet.
+    """
+    size = LAST_PORT - FIRST_PORT
+    start = os.getpid() * PORTS_PER_PROCESS
+    for number in itertools.count(start):
+        yield FIRST_PORT + number % size
+
+
+_PORTS = _port_numbers()
+
+
 def free_ports(count):
-    """Return distinct free loopback ports."""
-    socks = [socket.socket() for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
+    """Return distinct loopback ports that are free for TCP and UDP."""
+    return list(itertools.islice(filter(_is_free, _PORTS), count))
+
+
+def _is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
 
 
 class DaemonProcess:
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -137,7 +137,6 @@
                     daemon.gossip.datagram_received(data, ("127.0.0.1", 1))
             return daemon.gossip.bad_datagrams
 
-        logging.getLogger("dandelionarch").propagate = True
         with caplog.at_level(logging.WARNING):
             counted = asyncio.run(run())
         assert counted.total() == 100
