--- a/dandelionarch/standin/worker.py
+++ b/dandelionarch/standin/worker.py
@@ -174,10 +174,14 @@
     async def _spend(self, request, faults):
         if faults.hang:
             await asyncio.Event().wait()
-        work_ms = float(request.query.get("ms", self._args.work_ms)) * faults.slow
+        await asyncio.sleep(self.work_ms(request.query, faults) / 1000)
+
+    def work_ms(self, query, faults):
+        """Return the time that a request takes now, in milliseconds."""
+        work_ms = float(query.get("ms", self._args.work_ms)) * faults.slow
         if time.monotonic() - self._started < self._args.cold_s:
             work_ms *= self._args.cold_factor
-        await asyncio.sleep(work_ms / 1000)
+        return work_ms
 
     async def _answer(self, request, digest, size, faults):
         body = self._body(request, digest, size)
