Add the measurements' entry point and the measurement of speed

`python -m dandelionarch.measure speed` starts two daemons, each the ingress for the worker beside the other, and loads both by separate generators.

--- /dev/null
+++ b/dandelionarch/measure/__main__.py
@@ -0,0 +1,34 @@
+"""Entry point of the measurements: `python -m dandelionarch.measure [NAME ...]`."""
+
+import argparse
+import importlib
+import sys
+
+# Each module has `NAME`, `HELP` and `main(args)`, which takes the rest of the
+# command line and returns an exit code. Without a name, all run in this order.
+MODULES = ("speed",)
+
+
+def load_modules():
+    """Return the measurement modules by name."""
+    modules = (importlib.import_module(f"dandelionarch.measure.{m}") for m in MODULES)
+    return {module.NAME: module for module in modules}
+
+
+def main(argv=None):
+    """Run one measurement, or all of them; return the highest exit code."""
+    modules = load_modules()
+    parser = argparse.ArgumentParser(prog="python -m dandelionarch.measure")
+    commands = parser.add_subparsers(dest="name", metavar="NAME")
+    for name, module in modules.items():
+        commands.add_parser(name, help=module.HELP, add_help=False)
+    args, rest = parser.parse_known_args(argv)
+    if args.name is not None:
+        return modules[args.name].main(rest)
+    if rest:
+        parser.error(f"options need a measurement: {', '.join(modules)}")
+    return max(module.main([]) for module in modules.values())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dandelionarch/measure/speed.py
@@ -0,0 +1,259 @@
+"""Latency, memory and processor time that the two hops through daemons cost."""
+
+import argparse
+import json
+import tempfile
+import time
+from dataclasses import dataclass
+
+from dandelionarch.measure import processes as procs
+
+NAME = "speed"
+HELP = "latency added by the two hops, highest rate, memory and processor time"
+
+TARGET_RATE = 110
+TARGET_ADDED_MS = 3.0
+# A rate counts as held while the 99th percentile stays under this, in ms.
+HELD_P99_MS = 25.0
+HIGHEST_TRIED_RATE = 8000
+SERVICES = ("one", "two")
+
+DAEMON = """\
+[daemon]
+vm = {vm}
+data_centre = dc
+ingress_port = {ingress}
+peer_port = {peer}
+gossip_port = {gossip}
+admin_port = {admin}
+seeds = {seeds}
+shared_key = {key}
+log_url = {log}
+
+[logs]
+level = {level}
+"""
+
+ROUTES = """\
+[service {service}]
+floor = 1
+
+[route {service}]
+service = {service}
+path = /{service}
+methods = GET
+kind = read
+budget_ms = 5000
+
+[allow gold {service}]
+rate = 1000000
+burst = 1000000
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What one load saw: latencies in ms, and answers per second and target."""
+
+    p50_ms: float
+    p99_ms: float
+    answers_per_s: float
+    failures: int
+
+
+class SpeedFleet:
+    """Two daemons; each is ingress for the worker beside the other one."""
+
+    def __init__(self, programs, work_ms, level):
+        self._programs = programs
+        self._level = level
+        self._log_port = procs.free_ports(1)[0]
+        self.log_url = f"http://127.0.0.1:{self._log_port}"
+        programs.start("standin", "log", "--port", str(self._log_port))
+        self.ports = [procs.free_ports(4) for _ in SERVICES]
+        self.daemons = [self._start_daemon(i) for i in range(len(SERVICES))]
+        self.workers = [self._start_worker(i, work_ms) for i in range(len(SERVICES))]
+        self._publish()
+        procs.wait_for(self._ready, "daemons know the workers and the lists")
+
+    def _start_daemon(self, i):
+        ingress, peer, gossip, admin = self.ports[i]
+        seed = f"127.0.0.1:{self.ports[0][1]}" if i else ""
+        text = DAEMON.format(
+            vm=f"vm-{i}",
+            ingress=ingress,
+            peer=peer,
+            gossip=gossip,
+            admin=admin,
+            seeds=seed,
+            key=procs.SHARED_KEY,
+            log=self.log_url,
+            level=self._level,
+        )
+        process = self._programs.start(
+            "daemon", self._programs.write(f"vm-{i}.ini", text)
+        )
+        procs.wait_for(lambda: self._status(i), f"daemon {i} serves")
+        return process
+
+    def _start_worker(self, i, work_ms):
+        """Start the worker of service `i` beside the other daemon."""
+        port = procs.free_ports(1)[0]
+        admin = self.ports[1 - i][3]
+        options = {
+            "port": port,
+            "endpoint": f"{SERVICES[i]}-1",
+            "service": SERVICES[i],
+            "daemon": f"127.0.0.1:{admin}",
+            "slots": 200,
+            "work-ms": work_ms,
+        }
+        args = [part for k, v in options.items() for part in (f"--{k}", str(v))]
+        self._programs.start("standin", "worker", *args)
+        return port
+
+    def _publish(self):
+        allowances = "[plan gold]\npriority = 0\n\n"
+        allowances += "\n".join(ROUTES.format(service=name) for name in SERVICES)
+        plans = self._programs.write("plans.ini", procs.PLANS)
+        allowances = self._programs.write("allowances.ini", allowances)
+        probe = f"{self.log_url}/streams/x/records"
+        procs.wait_for(lambda: procs.get_json(probe), "log")
+        self._programs.run("ctl", "publish", plans, allowances, "--log", self.log_url)
+
+    def _status(self, i):
+        return procs.get_json(f"http://127.0.0.1:{self.ports[i][3]}/status")
+
+    def _ready(self):
+        status = [self._status(i) for i in range(len(SERVICES))]
+        endpoints = {f"{name}-1" for name in SERVICES}
+        return all(s["revision"] and endpoints <= set(s["endpoints"]) for s in status)
+
+    def load(self, rate, seconds, direct=False):
+        """Load both daemons, or both workers directly, and return a `Load`."""
+        running = []
+        for i, service in enumerate(SERVICES):
+            port = self.workers[i] if direct else self.ports[i][0]
+            report = str(self._programs.directory / f"load-{i}.json")
+            process = self._programs.start(
+                "load",
+                *("--target", f"http://127.0.0.1:{port}"),
+                *("--customer", f"load={procs.CUSTOMER_KEY}"),
+                *("--route", f"GET /{service}/{{n}}"),
+                *("--step", f"{rate}:{seconds}"),
+                *("--seed", str(i)),
+                *("--json", report),
+            )
+            running.append((process, report))
+        results = []
+        for process, report in running:
+            process.wait(seconds + 60)
+            with open(report, encoding="utf-8") as file:
+                results.append(json.load(file))
+        return _summary(results, seconds)
+
+    def usage(self, seconds, during=time.sleep):
+        """Run `during(seconds)`; return its result, cores and MiB per daemon."""
+        before = [procs.cpu_s(d.pid) for d in self.daemons]
+        began = time.monotonic()
+        result = during(seconds)
+        elapsed_s = time.monotonic() - began
+        used = sum(procs.cpu_s(d.pid) for d in self.daemons) - sum(before)
+        memory = max(procs.resident_bytes(d.pid) for d in self.daemons) / (1 << 20)
+        return result, used / elapsed_s / len(self.daemons), memory
+
+
+def _summary(results, seconds):
+    good = "answer" if "answer" in results[0]["latency_ms"] else "direct"
+    latencies = [result["latency_ms"].get(good, {}) for result in results]
+    answers = sum(result["outcomes"].get(good, 0) for result in results)
+    total = sum(sum(result["outcomes"].values()) for result in results)
+    return Load(
+        max(latency.get("50", float("inf")) for latency in latencies),
+        max(latency.get("99", float("inf")) for latency in latencies),
+        answers / seconds / len(results),
+        total - answers,
+    )
+
+
+def measure_added(fleet, rounds, seconds):
+    """Print what the two hops add at the target rate; return it in ms."""
+    added = []
+    for _ in range(rounds):
+        direct = fleet.load(TARGET_RATE, seconds, direct=True)
+        proxied = fleet.load(TARGET_RATE, seconds)
+        added.append(proxied.p99_ms - direct.p99_ms)
+        print(
+            f"{TARGET_RATE}/s per daemon: direct p50 {direct.p50_ms:.2f} "
+            f"p99 {direct.p99_ms:.2f} ms; two hops p50 {proxied.p50_ms:.2f} "
+            f"p99 {proxied.p99_ms:.2f} ms; added at p99 {added[-1]:.2f} ms "
+            f"({proxied.p99_ms / direct.p99_ms:.1f} times), "
+            f"failures {proxied.failures}",
+            flush=True,
+        )
+    return sorted(added)[len(added) // 2]
+
+
+def measure_usage(fleet, rates, seconds):
+    """Print cores and memory per daemon, idle and at each rate."""
+    _, cores, memory = fleet.usage(seconds)
+    print(f"idle: {cores * 100:.1f}% of a core, {memory:.0f} MiB per daemon")
+    points = [(0, cores)]
+    for rate in rates:
+        load, cores, memory = fleet.usage(seconds, lambda s, r=rate: fleet.load(r, s))
+        points.append((load.answers_per_s, cores))
+        print(
+            f"{rate}/s per daemon: {cores * 100:.1f}% of a core, {memory:.0f} MiB, "
+            f"p99 {load.p99_ms:.2f} ms, failures {load.failures}",
+            flush=True,
+        )
+    (first, low), (last, high) = points[1], points[-1]
+    if last > first:
+        per_request_us = (high - low) / (last - first) * 1e6
+        print(f"slope: {per_request_us:.0f} us of processor time per request")
+
+
+def measure_highest(fleet, seconds):
+    """Print and return the highest rate per daemon that is held."""
+    held, failed = TARGET_RATE, None
+    rate = 4 * TARGET_RATE
+    while rate <= HIGHEST_TRIED_RATE and (failed is None or failed - held > held / 8):
+        load = fleet.load(rate, seconds)
+        fine = not load.failures and load.p99_ms <= HELD_P99_MS
+        print(
+            f"{rate}/s per daemon: p50 {load.p50_ms:.1f} p99 {load.p99_ms:.1f} ms, "
+            f"failures {load.failures}: {'held' if fine else 'not held'}",
+            flush=True,
+        )
+        if fine:
+            held = rate
+        else:
+            failed = rate
+        rate = held * 2 if failed is None else (held + failed) // 2
+    print(f"highest rate held: {held}/s per daemon as ingress and as agent")
+    return held
+
+
+def main(args):
+    """Run the measurement; return 1 if the target is missed."""
+    parser = argparse.ArgumentParser(prog=f"python -m dandelionarch.measure {NAME}")
+    parser.add_argument("--seconds", type=int, default=8, help="length of each load")
+    parser.add_argument("--rounds", type=int, default=3)
+    parser.add_argument("--work-ms", type=float, default=2.0)
+    parser.add_argument("--level", default="INFO", help="the daemons' log level")
+    parser.add_argument("--skip-highest", action="store_true")
+    opts = parser.parse_args(args)
+    with tempfile.TemporaryDirectory() as directory:
+        with procs.Programs(directory) as programs:
+            fleet = SpeedFleet(programs, opts.work_ms, opts.level)
+            added_ms = measure_added(fleet, opts.rounds, opts.seconds)
+            rates = (TARGET_RATE, 2 * TARGET_RATE, 4 * TARGET_RATE)
+            measure_usage(fleet, rates, opts.seconds)
+            if not opts.skip_highest:
+                measure_highest(fleet, opts.seconds)
+    met = added_ms <= TARGET_ADDED_MS
+    print(
+        f"added at p99 in the median round: {added_ms:.2f} ms; target "
+        f"{TARGET_ADDED_MS} ms {'met' if met else 'MISSED'}"
+    )
+    return 0 if met else 1
