Set the fields of encoded messages one by one

pycapnp spends most of an encoding in taking fields from a dict. With two daemons, a client and a minimal worker in one process, a request took 1294 us of processor time before and 911 us after (least of six runs each, alternating; ratio 0.70).

--- a/dandelionarch/wire/codec.py
+++ b/dandelionarch/wire/codec.py
@@ -58,18 +58,22 @@
     return tuple(plan)
 
 
-def _to_dict(msg):
-    out = {}
+def _fill(builder, msg):
+    """Copy a message into a builder.
+
+    Setting the fields one by one takes a seventh of the time that pycapnp needs to
+    take them from a dict.
+    """
     for attr, name, nested, many in _field_plan(type(msg)):
         value = getattr(msg, attr)
         if nested and many:
-            value = [_to_dict(item) for item in value]
+            items = builder.init(name, len(value))
+            for i, item in enumerate(value):
+                _fill(items[i], item)
         elif nested:
-            value = _to_dict(value)
-        elif many:
-            value = list(value)
-        out[name] = value
-    return out
+            _fill(builder.init(name), value)
+        else:
+            setattr(builder, name, list(value) if many else value)
 
 
 def _from_reader(cls, reader):
@@ -103,7 +107,8 @@
     def encode(self, msg):
         """Return (channel, bytes) of a message."""
         channel, name = self._by_class[type(msg)]
-        envelope = self._envelopes[channel].new_message(**{name: _to_dict(msg)})
+        envelope = self._envelopes[channel].new_message()
+        _fill(envelope.init(name), msg)
         return channel, envelope.to_bytes()
 
     def decode(self, channel, data):
