Skip sanic's signals of each request

Nine signals per request were looked up in the signal router, though nothing receives them; sanic's own removal of unused ones works for one application only. A request took 848 us of processor time before and 764 us after (least of six alternating runs, ratio 0.90; medians 1048 and 905).

--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -73,6 +73,16 @@
             self._time = since
 
 
+class IngressApp(Sanic):
+    """Application without the signals of each request, which nothing receives."""
+
+    async def dispatch(self, event, **kwargs):
+        """Dispatch a signal unless it belongs to one request."""
+        if event.startswith("http."):
+            return None
+        return await super().dispatch(event, **kwargs)
+
+
 def problem(status, title, request_id, outcome=Outcome.NOT_RUN, retry_after_s=None):
     """Return a refusal as application/problem+json."""
     headers = {
@@ -114,7 +124,9 @@
         self._rng = random.Random()
         self.in_flight = 0
         self.stopping = False
-        self.app = Sanic(f"ingress-{uuid.uuid4().hex[:8]}", configure_logging=False)
+        self.app = IngressApp(
+            f"ingress-{uuid.uuid4().hex[:8]}", configure_logging=False
+        )
         self.app.ctx.max_connections = limits.max_connections
         self.app.config.REQUEST_MAX_SIZE = limits.max_request_body_bytes
         # The protocol class can be specialised for one application only.
