--- a/dandelionarch/wire/codec.py
+++ b/dandelionarch/wire/codec.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 import functools
-import operator
 import typing
 from enum import IntEnum
 from pathlib import Path
@@ -77,30 +76,17 @@
             setattr(builder, name, list(value) if many else value)
 
 
-@functools.cache
-def _read_plan(cls):
-    """Return (getter of all fields, their names, those that are no plain values)."""
-    plan = _field_plan(cls)
-    names = [name for _, name, _, _ in plan]
-    getter = operator.attrgetter(*names) if len(names) > 1 else None
-    special = [
-        (i, nested, many)
-        for i, (_, _, nested, many) in enumerate(plan)
-        if nested or many
-    ]
-    return getter, names, special
-
-
 def _from_reader(cls, reader):
-    getter, names, special = _read_plan(cls)
-    values = [getattr(reader, names[0])] if getter is None else list(getter(reader))
-    for i, nested, many in special:
+    values = []
+    for _, name, nested, many in _field_plan(cls):
+        value = getattr(reader, name)
         if nested and many:
-            values[i] = tuple([_from_reader(nested, item) for item in values[i]])
+            value = tuple(_from_reader(nested, item) for item in value)
         elif nested:
-            values[i] = _from_reader(nested, values[i])
-        else:
-            values[i] = tuple(values[i])
+            value = _from_reader(nested, value)
+        elif many:
+            value = tuple(value)
+        values.append(value)
     return cls(*values)
 
 
