Send a second attempt beside idempotent stragglers

An idempotent request without an answer after four times the usual time of its route gets a second attempt on another endpoint, within the retry budget; the first answer wins and the other attempt is cancelled. If one of the two fails after it may have run, a refusal of the other does not count as proof of not run.

The tests fail when orders are hedged, without a budget, without the note of the failed attempt, and without the cancellation.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -151,6 +151,32 @@
             self.tried.discard(self._current)
         return self._again(reason, now, proven=False)
 
+    def hedge(self, now):
+        """Return a second `Dispatch` beside a straggling attempt, or None.
+
+        Only idempotent work is hedged, and only within the retry budget.
+        """
+        if not self.work.idempotent or not self._replayable():
+            return None
+        if now >= self.deadline or self.attempts >= MAX_ATTEMPTS:
+            return None
+        give_back = self._give_back or self._reserve()
+        self._give_back = None
+        if give_back is None:
+            return None
+        decision = self._choose(self.work.service, frozenset(self.tried))
+        if decision.chosen is None:
+            give_back()
+            return None
+        self.attempts += 1
+        endpoint = decision.chosen.endpoint
+        self.tried.add(endpoint.endpoint_id)
+        return Dispatch(endpoint, decision)
+
+    def one_failed(self):
+        """Note that one of two attempts failed after it may have run."""
+        self._may_have_run = True
+
     def answered(self):
         """Handle a whole answer."""
         self.finished = True
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -6,6 +6,7 @@
 import logging
 import random
 
+from dandelionarch.core.hedging import HedgeDelays
 from dandelionarch.core.ingress import Deliver, Dispatch, RequestLife
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
@@ -34,6 +35,7 @@
         self._policy = TwoChoices()
         self._retries = RetryBudget()
         self._returns = ReturnSchedule()
+        self._hedging = HedgeDelays()
         self._attempt_ids = itertools.count(1)
         self._streams = {}
         self._in_flight = {}
@@ -136,6 +138,7 @@
         self._log_decision(work, command)
         stream = None
         may_wait, command, ended = command.may_wait, None, False
+        began = loop.time()
         try:
             async with asyncio.timeout_at(life.deadline):
                 link = await self._network.link(endpoint.vm_id)
@@ -143,7 +146,11 @@
                 budget_s = life.deadline - loop.time()
                 self._send_request(stream, work, req, budget_s, may_wait)
                 life.sent()
-                command, ended = await self._await_answer(life, stream)
+                stream, msg = await self._first_reply(life, work, req, stream)
+                command, ended = await self._await_answer(life, stream, msg)
+            if isinstance(command, Deliver):
+                delay_s = loop.time() - began
+                self._hedging.observe(work.service, work.route, delay_s)
             return command
         except TimeoutError:
             return life.expired()
@@ -186,10 +193,67 @@
         if not inline:
             stream.sender = self._network.spawn(stream.send_body(req))
 
-    async def _await_answer(self, life, stream):
+    async def _first_reply(self, life, work, req, stream):
+        """Return the attempt that is answered first and its first message.
+
+        An idempotent request that straggles gets a second attempt; the other one is
+        cancelled.
+        """
+        delay_s = self._hedging.delay_s(work.service, work.route)
+        if delay_s is None:
+            return stream, await stream.mailbox.get()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay_s):
+                return stream, await stream.mailbox.get()
+        second = await self._second_attempt(life, work, req)
+        if second is None:
+            return stream, await stream.mailbox.get()
+        return await self._race(life, stream, second)
+
+    async def _second_attempt(self, life, work, req):
+        """Return a further attempt on another endpoint, or None."""
+        loop = asyncio.get_running_loop()
+        command = life.hedge(loop.time())
+        if command is None:
+            return None
+        self._log_decision(work, command)
+        endpoint = command.endpoint
+        try:
+            if not self._network.is_up(endpoint.vm_id):
+                return None
+            stream = self._open(endpoint, await self._network.link(endpoint.vm_id))
+            self._send_request(stream, work, req, life.deadline - loop.time(), True)
+        except LinkError:
+            return None
+        return stream
+
+    async def _race(self, life, first, second):
+        """Return the attempt that is answered, or fails last, and its message."""
+        gets = {
+            asyncio.ensure_future(stream.mailbox.get()): stream
+            for stream in (first, second)
+        }
+        kept = first
+        try:
+            while True:
+                done, _ = await asyncio.wait(gets, return_when=asyncio.FIRST_COMPLETED)
+                get = done.pop()
+                kept, msg = gets.pop(get), get.result()
+                if isinstance(msg, msgs.ResponseHead) or not gets:
+                    return kept, msg
+                if not isinstance(msg, msgs.Refusal):
+                    life.one_failed()
+                self.close(kept, cancel=False)
+        finally:
+            for get in gets:
+                get.cancel()
+            for stream in (first, second):
+                if stream is not kept:
+                    self.close(stream, cancel=True)
+
+    async def _await_answer(self, life, stream, msg):
         """Return (command, True if the agent has ended the attempt)."""
         loop = asyncio.get_running_loop()
-        msg = await stream.mailbox.get()
         if isinstance(msg, msgs.Refusal):
             least_s = msg.retry_after_ms / 1000
             return life.not_run(_reason(msg), loop.time(), least_s), True
--- a/dandelionarch/measure/blocking.py
+++ b/dandelionarch/measure/blocking.py
@@ -15,7 +15,13 @@
 from dandelionarch.core.outcome import Outcome
 from dandelionarch.core.retries import RetryBudget
 from dandelionarch.measure.model import Model
-from dandelionarch.measure.options import QUEUE_PER_SLOT, NoDetector, Options, steady
+from dandelionarch.measure.options import (
+    QUEUE_PER_SLOT,
+    NoDetector,
+    NoHedging,
+    Options,
+    steady,
+)
 from dandelionarch.measure.workers import Kind, Worker
 
 NAME = "blocking"
@@ -25,22 +31,25 @@
 LONG = Kind("long", 0.400, share=0.05, budget_s=10.0, priority=1)
 WORKERS, SLOTS = 8, 3
 LOADS = (0.5, 0.8, 0.95)
+TAILS = (0.5, 0.99, 0.999)
+FROM_CALLERS_S = 0.016
 # The costs and loads are learnt in this time; it is not counted.
 WARM_UP_S = 10.0
 PROCESSES = 5
 
 
 class WaitRecorder(NoDetector):
-    """Notes how long each request took from its ingress to a slot, in seconds."""
+    """Notes how long each request took from its ingress to its first slot."""
 
     def __init__(self, agent):
         super().__init__(agent)
-        self.waits = []
+        self.waits = {}
 
     def started(self, attempt, now):
         began_s = attempt.deadline - attempt.kind.budget_s
         if began_s >= WARM_UP_S:
-            self.waits.append((attempt.kind.name, now - began_s))
+            key = (attempt.kind.name, attempt.work.request_id)
+            self.waits.setdefault(key, now - began_s)
 
 
 def mean_service_s(kinds, draws=20_000):
@@ -91,13 +100,17 @@
         selection.select, skip=frozenset({"age_reports", "not_full", "near_first"})
     ),
     "make_queue": fifo,
+    "make_hedging": NoHedging,
 }
 ROWS = {
     "random, FIFO": {**PLAIN, "make_policy": selection.RandomChoice},
     "round robin, FIFO": {**PLAIN, "make_policy": selection.RoundRobin},
     "plain two choices, FIFO": {**PLAIN, "make_policy": selection.PlainTwoChoices},
-    "two choices, FIFO": {"make_queue": fifo},
-    "two choices, unbounded FIFO": {"make_queue": long_fifo},
+    "two choices, FIFO": {"make_queue": fifo, "make_hedging": NoHedging},
+    "two choices, unbounded FIFO": {
+        "make_queue": long_fifo,
+        "make_hedging": NoHedging,
+    },
     "random, cost queue": {**PLAIN, "make_policy": selection.RandomChoice},
     "plain two choices, cost queue": {
         **PLAIN,
@@ -110,6 +123,7 @@
     "no refusal of late work": without("refuse_late"),
     "no ageing of reports": skipping("age_reports"),
     "no stage for full endpoints": skipping("not_full"),
+    "no second attempt beside stragglers": {"make_hedging": NoHedging},
     "no redirect from busy endpoints": {"make_retries": NoReserve},
     "no preference for near ones": skipping("near_first"),
 }
@@ -142,42 +156,41 @@
 
 
 def measure(options, seconds):
-    """Run the options; return (waits by kind, refused or late share by kind)."""
+    """Return waits, latencies and the share not answered, each by kind."""
     model = Model(options)
     results = [r for r in model.run(seconds) if r.started_s >= WARM_UP_S]
-    waits, missed = {}, {}
+    waits, latencies, missed, first = {}, {}, {}, {}
+    for agent in model.agents:
+        for key, wait in agent.detector.waits.items():
+            first[key] = min(wait, first.get(key, wait))
     for kind in options.kinds:
-        waits[kind.name] = sorted(
-            wait
-            for agent in model.agents
-            for name, wait in agent.detector.waits
-            if name == kind.name
-        )
+        waits[kind.name] = sorted(w for (n, _), w in first.items() if n == kind.name)
         mine = [r for r in results if r.kind == kind.name]
-        bad = sum(r.outcome is not Outcome.ANSWER for r in mine)
-        missed[kind.name] = bad / max(1, len(mine))
-    return waits, missed
+        answers = [r for r in mine if r.outcome is Outcome.ANSWER]
+        latencies[kind.name] = sorted(r.latency_s - FROM_CALLERS_S for r in answers)
+        missed[kind.name] = 1 - len(answers) / max(1, len(mine))
+    return waits, latencies, missed
 
 
 def own_slots(load, seed, seconds):
     """Run the bound: one slot per worker for short work, two for long work."""
     base = base_options(load, seed)
-    waits, missed = {}, {}
+    parts = {}, {}, {}
     for kind, slots in ((SHORT, 1), (LONG, 2)):
         rate = base.rate.peak * kind.share
         options = replace(base, kinds=(kind,), slots=slots, rate=steady(rate))
-        more = measure(options, seconds)
-        waits.update(more[0])
-        missed.update(more[1])
-    return waits, missed
+        for part, more in zip(parts, measure(options, seconds), strict=True):
+            part.update(more)
+    return parts
 
 
 def short_alone(load, seed, seconds):
     """Run the bound: the same short work with no long work at all."""
     base = base_options(load, seed)
     rate = base.rate.peak * SHORT.share
-    waits, missed = measure(replace(base, kinds=(SHORT,), rate=steady(rate)), seconds)
-    return {**waits, "long": []}, {**missed, "long": float("nan")}
+    options = replace(base, kinds=(SHORT,), rate=steady(rate))
+    waits, latencies, missed = measure(options, seconds)
+    return {**waits, "long": []}, latencies, {**missed, "long": float("nan")}
 
 
 BOUNDS = {
@@ -190,11 +203,14 @@
     """Return one line of the table."""
     name, load, seed, seconds = task
     if name in BOUNDS:
-        waits, missed = BOUNDS[name](load, seed, seconds)
+        waits, latencies, missed = BOUNDS[name](load, seed, seconds)
     else:
-        waits, missed = measure(base_options(load, seed, **ROWS[name]), seconds)
+        waits, latencies, missed = measure(
+            base_options(load, seed, **ROWS[name]), seconds
+        )
     cells = [name, f"{load:.0%}"]
-    for kind, shares in (("short", (0.5, 0.99, 0.999)), ("long", (0.5, 0.99))):
+    cells += [f"{percentile_ms(latencies['short'], share):.0f}" for share in TAILS]
+    for kind, shares in (("short", TAILS), ("long", (0.5, 0.99))):
         cells += [f"{percentile_ms(waits[kind], share):.1f}" for share in shares]
         cells.append(f"{missed[kind]:.2%}")
     return cells
@@ -203,11 +219,14 @@
 HEADER = (
     "policy",
     "load",
-    "short p50 ms",
+    "short latency p50 ms",
+    "p99",
+    "p99.9",
+    "short wait p50 ms",
     "p99",
     "p99.9",
     "short not answered",
-    "long p50 ms",
+    "long wait p50 ms",
     "p99",
     "long not answered",
 )
--- a/dandelionarch/measure/crest.py
+++ b/dandelionarch/measure/crest.py
@@ -33,6 +33,7 @@
 from dandelionarch.measure.options import (
     FreeRetries,
     NoDetector,
+    NoHedging,
     Options,
     UniformReturns,
     crest,
@@ -138,6 +139,7 @@
         "admit": no_shedding,
     },
     "no retry budget": {"make_retries": FreeRedirects},
+    "no second attempt beside stragglers": {"make_hedging": NoHedging},
     "no redirect from busy endpoints": {"make_retries": NoReserve},
     "returns within 1 to 3 s": {"make_returns": UniformReturns},
     "returns after 2 s": {"make_returns": FixedReturns},
--- a/dandelionarch/measure/model.py
+++ b/dandelionarch/measure/model.py
@@ -195,6 +195,7 @@
         self.filter = options.make_filter()
         self.retries = options.make_retries()
         self.returns = options.make_returns()
+        self.hedging = options.make_hedging()
         self.in_flight = {}
         self.loads = {}
         self.down = set()
@@ -285,8 +286,12 @@
         agent = model.agent_of[command.endpoint.endpoint_id]
         life.endpoint_id = command.endpoint.endpoint_id
 
+        pair = []
+
         def on_end(reason, refused):
             now = model.timers.now()
+            if self._decided_by_other(pair, life, reason, refused):
+                return
             if reason is None:
                 following = life.answered()
             elif refused:
@@ -298,9 +303,49 @@
                 following = life.failed(reason, now)
             self._follow(following, life, kind, began_s)
 
+        life.sent()
         attempt = Attempt(life.work, kind, life.deadline, self, agent, on_end)
         attempt.may_wait = command.may_wait
-        life.sent()
+        pair.append(attempt)
+        self._send(attempt)
+        delay_s = self.hedging.delay_s("service", kind.name)
+        if delay_s is not None:
+            model.timers.subscribe(delay_s, lambda: self._hedge(pair, life))
+
+    def _hedge(self, pair, life):
+        """Send a second attempt if the first is still without an answer."""
+        first = pair[0]
+        if len(pair) > 1 or id(first) not in self.attempts:
+            return
+        command = life.hedge(self.model.timers.now())
+        if command is not None:
+            agent = self.model.agent_of[command.endpoint.endpoint_id]
+            second = Attempt(
+                life.work, first.kind, life.deadline, self, agent, first.on_end
+            )
+            pair.append(second)
+            self._send(second)
+
+    def _decided_by_other(self, pair, life, reason, refused):
+        """Return True if another attempt goes on; cancel it after an answer."""
+        now = self.model.timers.now()
+        live = [a for a in pair if id(a) in self.attempts]
+        if reason is None:
+            self.hedging.observe("service", pair[0].kind.name, now - pair[0].sent_s)
+            for other in live:
+                self.attempts.discard(id(other))
+                self.in_flight[other.agent.endpoint.endpoint_id] -= 1
+                self.model.network.send(
+                    self.vm_id, other.agent.vm_id, other.agent.on_cancel, other
+                )
+            return False
+        if live and not refused:
+            life.one_failed()
+        return bool(live)
+
+    def _send(self, attempt):
+        model, agent = self.model, attempt.agent
+        attempt.sent_s = model.timers.now()
         self.attempts.add(id(attempt))
         endpoint_id = agent.endpoint.endpoint_id
         self.in_flight[endpoint_id] = self.in_flight.get(endpoint_id, 0) + 1
--- a/dandelionarch/measure/options.py
+++ b/dandelionarch/measure/options.py
@@ -6,6 +6,7 @@
 
 from dandelionarch.core import selection
 from dandelionarch.core.admission import SlotQueue
+from dandelionarch.core.hedging import HedgeDelays
 from dandelionarch.core.ingress import Work
 from dandelionarch.core.outcome import Outcome, Reason
 from dandelionarch.core.world import Health
@@ -83,6 +84,14 @@
         return None
 
 
+class NoHedging(HedgeDelays):
+    """Sends no second attempt beside a straggling one."""
+
+    def delay_s(self, service, route):
+        """Return None."""
+        return None
+
+
 class UniformReturns:
     """Asks refused callers to return within 1 to 3 s, whatever the load."""
 
@@ -120,6 +129,7 @@
     make_filter: Callable = OpenFilter
     make_retries: Callable = FreeRetries
     make_returns: Callable = UniformReturns
+    make_hedging: Callable = HedgeDelays
     admit: Callable = lambda ingress, work, now: None
     on_refused: Callable = lambda ingress, kind, retry_after_s: None
     make_customer: Callable = lambda rng: "customer"
@@ -141,6 +151,7 @@
     ended: bool = False
     timer: object = None
     may_wait: bool = True
+    sent_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,156 @@
+"""Second attempts beside stragglers."""
+
+import asyncio
+import random
+
+from dandelionarch.core.directory import Directory
+from dandelionarch.core.hedging import MIN_SAMPLES, HedgeDelays
+from dandelionarch.core.ingress import RequestLife, Work
+from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.outcome import Outcome
+from dandelionarch.core.world import Endpoint, Vm
+from dandelionarch.daemon.ingress import Ingress
+
+
+def work(idempotent=True):
+    """Return a request for the service `s`."""
+    return Work("r", "c", "s", "route", "kind", idempotent, 0)
+
+
+class FakeLink:
+    """Link to an agent that replies as a function of the head tells it."""
+
+    def __init__(self, network, vm_id):
+        self.network, self.vm_id, self.sent = network, vm_id, []
+
+    def begin(self):
+        self.network.open += 1
+
+    def end(self):
+        self.network.open -= 1
+
+    def send(self, msg):
+        self.sent.append(msg)
+        if isinstance(msg, msgs.RequestHead):
+            reply = self.network.reply(self, msg)
+            if reply is not None:
+                asyncio.get_running_loop().call_soon(
+                    self.network.handlers[type(reply)], self, reply
+                )
+
+
+class FakeNetwork:
+    """Links to two agents; `reply(link, head)` decides what they answer."""
+
+    vm_id = "vm-0"
+
+    def __init__(self):
+        self.handlers, self.open, self.heads = {}, 0, []
+        self.links = {f"vm-{i}": FakeLink(self, f"vm-{i}") for i in range(2)}
+        self.on_lost = lambda handler: None
+        self.subscribe = self.handlers.__setitem__
+        self.is_up = lambda vm_id: True
+
+    async def link(self, vm_id):
+        return self.links[vm_id]
+
+
+class CallerRequest:
+    """A request without a body."""
+
+    method, target, headers, body, rest = "GET", "/", (), b"", None
+
+    @staticmethod
+    def replayable():
+        return True
+
+
+class TestHedging:
+    """Only idempotent stragglers get a second attempt, within the budget."""
+
+    def test_order_is_never_sent_twice(self):
+        """Guards at-most-once against hedging, and hedging against no budget."""
+
+        def life(idempotent, reserve):
+            endpoint = type("E", (), {"endpoint_id": "w"})()
+            chosen = type("C", (), {"endpoint": endpoint})()
+            decision = type("D", (), {"chosen": chosen, "candidates": ["w"]})()
+            request = RequestLife(
+                work(idempotent),
+                lambda *_: decision,
+                9.0,
+                random.Random(1),
+                reserve=reserve,
+            )
+            request.start(0.0)
+            return request
+
+        assert life(True, lambda: int).hedge(1.0) is not None
+        assert life(False, lambda: int).hedge(1.0) is None
+        assert life(True, lambda: None).hedge(1.0) is None
+
+    def test_delay_is_learnt(self):
+        """Guards against hedging before the usual time is known."""
+        delays = HedgeDelays()
+        for _ in range(MIN_SAMPLES):
+            assert delays.delay_s("s", "route") is None
+            delays.observe("s", "route", 0.01)
+        assert delays.delay_s("s", "route") == 0.04
+
+    def test_second_answer_cancels_the_first_attempt(self):
+        """Guards against a straggler that keeps its slot or its caller waiting."""
+
+        def reply(link, head):
+            network.heads.append(link)
+            return None if len(network.heads) == 1 else self._answer(head)
+
+        network = FakeNetwork()
+        network.reply = reply
+        answer = asyncio.run(self._run(network))
+        assert answer.body == b"done"
+        first, second = network.heads
+        assert first is not second
+        assert isinstance(first.sent[-1], msgs.Cancel)
+        assert not any(isinstance(msg, msgs.Cancel) for msg in second.sent)
+        assert network.open == 0
+
+    def test_failure_beside_a_refusal_is_unknown(self):
+        """Guards `not-run` against the other attempt, which may have run."""
+
+        def reply(link, head):
+            network.heads.append(link)
+            load = msgs.LoadReport(head.endpoint_id, 1, 0, 1, "healthy", 1.0)
+            if len(network.heads) == 1:
+                return None
+            if len(network.heads) == 2:
+                lost = msgs.Failure(network.first, "worker_failed", load)
+                first = network.heads[0]
+                asyncio.get_running_loop().call_soon(
+                    network.handlers[msgs.Failure], first, lost
+                )
+            return msgs.Refusal(head.attempt_id, "queue_full", 0, load)
+
+        network = FakeNetwork()
+        network.first = 1
+        network.reply = reply
+        refuse = asyncio.run(self._run(network))
+        assert refuse.outcome is Outcome.UNKNOWN
+        assert network.open == 0
+
+    @staticmethod
+    def _answer(head):
+        load = msgs.LoadReport(head.endpoint_id, 1, 0, 1, "healthy", 1.0)
+        return msgs.ResponseHead(head.attempt_id, 200, (), b"done", True, load)
+
+    @staticmethod
+    async def _run(network):
+        directory = Directory()
+        for i in range(2):
+            directory.put_vm(Vm(f"vm-{i}", "dc", "r", "", 0, 0, 0, 0, 1))
+            directory.put_endpoint(Endpoint(f"w-{i}", f"vm-{i}", "s", "", 9, 1, 9, 1))
+        agent = type("A", (), {"on_credit": staticmethod(lambda link, msg: None)})()
+        ingress = Ingress(network, directory, agent, random.Random(1))
+        for _ in range(MIN_SAMPLES):
+            ingress._hedging.observe("s", "route", 0.001)
+        deadline = asyncio.get_running_loop().time() + 5.0
+        return await ingress.run(work(), CallerRequest(), deadline)
