--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -17,11 +17,13 @@
 from dandelionarch.core.world import EndpointState, Vm
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
+from dandelionarch.daemon.fleet import FleetService
 from dandelionarch.daemon.gossip import Gossip
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp, IngressProtocol
 from dandelionarch.daemon.limits import Limits
 from dandelionarch.daemon.link import PeerNetwork
+from dandelionarch.daemon.listening import close_listener
 from dandelionarch.daemon.logclient import LogClient
 from dandelionarch.daemon.order_home import OrderHomes
 from dandelionarch.daemon.orders import OrderGate
@@ -90,6 +92,9 @@
         self.streams.on_applied(CONFIG_STREAM, self._on_publication)
         self.streams.on_restored(CONFIG_STREAM, self._use_config)
         self.streams.on_ready(self._use_config)
+        self.fleet = FleetService(
+            self.streams, self.directory, self.vm, self._accepted_lists
+        )
         self.agent = Agent(self.network, self.directory, self.vm_id)
         self.ingress = Ingress(self.network, self.directory, self.agent)
         self.order_homes = OrderHomes(
@@ -128,6 +133,8 @@
         )
         self.gossip.carry_offsets(self.streams.offsets)
         self.gossip.on_peer_offsets(self.streams.peer_offsets)
+        self.gossip.on_incarnation(self.fleet.use_incarnation)
+        self.gossip.carry_addresses(self.fleet.fold.addresses)
         self.announcements = Announcements()
         self._servers = []
         self._tasks = []
@@ -175,6 +182,7 @@
             self.gossip.run(),
             self.gossip.run_seeds(),
             self._watch_endpoints(),
+            self.fleet.run(),
             self.order_homes.run(),
             self.limits.run(),
         ):
@@ -193,9 +201,9 @@
         self._servers.append(server)
 
     def _busy(self):
-        """Return True while requests or orders are in flight here."""
+        """Return True while work is in flight here or answers wait to be sent."""
         parts = (self.agent, self.http, self.orders)
-        return any(part.in_flight for part in parts)
+        return any(part.in_flight for part in parts) or self.network.unsent() > 0
 
     async def drain(self):
         """Tell the peers, refuse new work, and finish what is in flight."""
@@ -210,8 +218,9 @@
         limit = loop.time() + self.settings.limits.stop_timeout_s
         while self._busy() and loop.time() < limit:
             await asyncio.sleep(STOP_POLL_S)
+        await self.fleet.leave()
+        await asyncio.gather(*map(close_listener, self._servers))
         for server in self._servers:
-            server.close()
             await self.http.close_idle(server, limit)
         if self.agent.in_flight or self.http.in_flight:
             event(
@@ -289,6 +298,7 @@
             "offsets": self.streams.offsets(),
             "ready": self.streams.ready,
             "log_available": self.streams.available,
+            "headroom": self.fleet.headroom(),
             "vms": {vm.vm_id: vm.state.value for vm in self.directory.vms.values()},
             "endpoints": {
                 e.endpoint_id: {
@@ -320,6 +330,10 @@
         if self.streams.ready and self.config.state.revision:
             self.active.use(self.config.state.lists)
 
+    def _accepted_lists(self):
+        state = self.config.state
+        return (state.revision, state.lists) if state.revision else None
+
     def _address(self, vm_id):
         vm = self.directory.vms.get(vm_id)
         return None if vm is None else (vm.host, vm.peer_port)
--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -106,6 +106,10 @@
         """Return True if a link to the VM is established (or is this VM)."""
         return vm_id == self.vm_id or vm_id in self._links
 
+    def unsent(self):
+        """Return the bytes that wait in the sending buffers of all links."""
+        return sum(link.unsent() for link in self.all_links())
+
     def all_links(self):
         """Return every established link, dialled or accepted."""
         return [*self._links.values(), *self._accepted]
--- a/dandelionarch/daemon/tcplink.py
+++ b/dandelionarch/daemon/tcplink.py
@@ -170,6 +170,10 @@
     async def writable(self):
         await self._writable.wait()
 
+    def unsent(self):
+        """Return the bytes that wait in the sending buffer."""
+        return 0 if self.closed else self._transport.get_write_buffer_size()
+
     def check(self, now):
         """Ping an idle peer that owes replies; close the link if it is silent."""
         idle_s = now - self.last_received
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -189,7 +189,7 @@
         first = fleet.daemons["vm-0"]
         for _ in range(3):
             first.membership.exchange_with("vm-1")
-            fleet._carry_out(first, first.membership.tick(fleet.timers.now()))
+            fleet.carry_out(first, first.membership.tick(fleet.timers.now()))
             fleet.run(0.1)
         assert len(tables[0].records) == len(tables[1].records) == 60
         assert tables[0].tree.digest(0, 0) == tables[1].tree.digest(0, 0)
@@ -207,7 +207,7 @@
         assert user.endpoints == {}
         record = fleet.daemons["vm-3"].membership.me
         service = record.services[0].service
-        fleet._carry_out(user, user.membership.use(service, fleet.timers.now()))
+        fleet.carry_out(user, user.membership.use(service, fleet.timers.now()))
         fleet.run(0.1)
         assert {key[1] for key in user.endpoints} == {service}
         assert len(user.endpoints["vm-3", service]) == record.services[0].endpoints
@@ -219,7 +219,7 @@
         daemon = fleet.daemons["vm-1"]
         first, *rest = daemon.membership._endpoints
         drained = dataclasses.replace(first, state="draining")
-        fleet._carry_out(daemon, daemon.membership.set_endpoints([drained, *rest]))
+        fleet.carry_out(daemon, daemon.membership.set_endpoints([drained, *rest]))
 
         def known():
             return sum(
