Judge the health of endpoints in the daemon

The agent reports admission, start, first byte and end of each run; the health task feeds the detector, asks peers by EvidenceQuery messages, runs claims through the object it is given (None: only demotion) and repeats a release until the log has taken it. Ejected endpoints refuse with 'ejected' except trials, and what waits for them is refused too. Service time ends at the first part of the response: what follows depends on how fast the caller reads. Status 503 and 504 are load and lapsed budgets, no failures.

--- a/dandelionarch/core/detection.py
+++ b/dandelionarch/core/detection.py
@@ -209,7 +209,9 @@
             self._requery_due = None
             commands.append(self._query(self._suspicion, now))
         if now >= self._baseline_due:
-            self._baseline_due = now + BASELINE_PERIOD_S
+            known = all(state.baseline for state in self.kinds.values())
+            period_s = BASELINE_PERIOD_S if self.kinds and known else FIRST_BASELINE_S
+            self._baseline_due = now + period_s
             commands += self._refresh()
         return commands
 
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -44,6 +44,7 @@
         self.window_open = asyncio.Event()
         self.started = asyncio.Event()
         self.answered = False
+        self.reason = Reason.CANCELLED
         self.call = Call()
         self.task = None
         if head.data or head.last:
@@ -110,8 +111,10 @@
 class Agent:
     """Task that owns the connections to the endpoints of this VM."""
 
-    def __init__(self, network, directory, vm_id):
+    def __init__(self, network, directory, vm_id, watch):
         self._directory = directory
+        self._watch = watch
+        watch.on_eject = self._refuse_waiting
         self._vm_id = vm_id
         self._local = {}
         self._runs = {}
@@ -152,7 +155,7 @@
 
     def _on_head(self, link, head):
         local = self._endpoint(head.endpoint_id)
-        reason = self._refusal_reason(local)
+        reason = self._refusal_reason(local, head)
         run = Run(link, head)
         if reason is None:
             now = asyncio.get_running_loop().time()
@@ -164,18 +167,21 @@
             self._refuse(run, local, reason)
             return
         self._runs[link, head.attempt_id] = run
+        self._watch.admitted(local.endpoint, run)
         link.begin()
         if verdict == "run":
             run.started.set()
         run.task = asyncio.get_running_loop().create_task(self._run(run, local))
 
-    def _refusal_reason(self, local):
+    def _refusal_reason(self, local, head):
         if self.stopping:
             return Reason.STOPPING
         if local is None:
             return Reason.UNKNOWN_ENDPOINT
         if local.endpoint.state not in (EndpointState.READY, EndpointState.STARTING):
             return Reason.DRAINING
+        if not self._watch.admits(local.endpoint, head.idempotent):
+            return Reason.EJECTED
         return None
 
     def _refuse(self, run, local, reason):
@@ -195,9 +201,18 @@
     def _refuse_evicted(self, local):
         for run in local.queue.take_evicted():
             self._refuse(run, local, Reason.QUEUE_FULL)
+            self._watch.ended(local.endpoint, run, run.reason, run.head.kind)
             self._runs.pop((run.link, run.head.attempt_id), None)
             run.task.cancel()
 
+    def _refuse_waiting(self, endpoint_id):
+        """Refuse what waits for an endpoint that has been ejected."""
+        local = self._local.get(endpoint_id)
+        for run in list(self._runs.values()):
+            if run.head.endpoint_id == endpoint_id and not run.started.is_set():
+                self._refuse(run, local, Reason.EJECTED)
+                run.task.cancel()
+
     def _on_chunk(self, link, msg):
         run = self._runs.get((link, msg.attempt_id))
         if run is not None and not run.receive(msg.data, msg.last):
@@ -236,6 +251,7 @@
             event(log, "run_cancelled", request=head.request_id)
         finally:
             run.link.end()
+            self._watch.ended(local.endpoint, run, run.reason, head.kind)
             self._runs.pop((run.link, head.attempt_id), None)
             self._release(run, local)
 
@@ -260,7 +276,8 @@
             running=local.queue.running,
             queued=local.queue.queued,
         )
-        reason = await self._exchange(run, local, deadline)
+        self._watch.started(endpoint, run, run.head.kind)
+        reason = run.reason = await self._exchange(run, local, deadline)
         if reason in (Reason.WORKER_REFUSED, Reason.WORKER_UNREACHABLE):
             self._refuse(run, local, reason)
         elif reason is not None:
@@ -327,6 +344,7 @@
         attempt_id = run.head.attempt_id
         first = await resp.content.read(CHUNK_BYTES)
         last = resp.content.at_eof()
+        self._watch.answered(local.endpoint, run, resp.status)
         headers = end_to_end(resp.headers.items())
         await run.send_part(
             msgs.ResponseHead(
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -18,6 +18,7 @@
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
 from dandelionarch.daemon.gossip import Gossip
+from dandelionarch.daemon.health import HealthWatch
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp, IngressProtocol
 from dandelionarch.daemon.limits import Limits
@@ -90,7 +91,8 @@
         self.streams.on_applied(CONFIG_STREAM, self._on_publication)
         self.streams.on_restored(CONFIG_STREAM, self._use_config)
         self.streams.on_ready(self._use_config)
-        self.agent = Agent(self.network, self.directory, self.vm_id)
+        self.health = HealthWatch(self.network, self.directory, self.vm_id)
+        self.agent = Agent(self.network, self.directory, self.vm_id, self.health)
         self.ingress = Ingress(self.network, self.directory, self.agent)
         self.order_homes = OrderHomes(
             self.client,
@@ -175,6 +177,7 @@
             self.gossip.run(),
             self.gossip.run_seeds(),
             self._watch_endpoints(),
+            self.health.run(),
             self.order_homes.run(),
             self.limits.run(),
         ):
@@ -252,6 +255,7 @@
             endpoint.state is not EndpointState.GONE
         ):
             endpoint = dataclasses.replace(endpoint, state=EndpointState.DRAINING)
+        endpoint = self.health.marked(endpoint)
         self.announcements.heard(endpoint, self.network.now())
         if self.directory.put_endpoint(endpoint):
             event(
--- /dev/null
+++ b/dandelionarch/daemon/health.py
@@ -0,0 +1,243 @@
+"""Health of the endpoints beside this daemon: the task around the detector."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+import time
+
+from dandelionarch.core.detection import QueryPeers, RunEnd
+from dandelionarch.core.ejection import Claim, Eject, Release
+from dandelionarch.core.evidence import Summary
+from dandelionarch.core.health import EndpointHealth
+from dandelionarch.core.messages import evidence as msgs
+from dandelionarch.core.outcome import Reason
+from dandelionarch.core.selection import warmup_ramp
+from dandelionarch.core.world import EndpointState
+from dandelionarch.errors import LinkError, PlatformError
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.1
+QUERY_TIMEOUT_S = 0.5
+RELEASE_RETRY_S = 1.0
+SERVER_ERROR = 500
+# The endpoint sheds load, or the time budget it was given has lapsed.
+STATUS_ENDS = {503: RunEnd.REFUSED, 504: RunEnd.CUT_SHORT}
+
+ENDS = {
+    Reason.WORKER_FAILED: RunEnd.FAILED,
+    Reason.TRUNCATED: RunEnd.FAILED,
+    Reason.WORKER_UNREACHABLE: RunEnd.FAILED,
+    # Load, or a fault of this daemon.
+    Reason.WORKER_REFUSED: RunEnd.REFUSED,
+    Reason.INTERNAL_ERROR: RunEnd.REFUSED,
+}
+# After the response has begun, only these speak of the endpoint.
+LATE_FAILURES = (Reason.TRUNCATED, Reason.WORKER_FAILED)
+
+
+class HealthWatch:
+    """Judges the endpoints of one VM by the runs that the agent reports.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+    directory : Directory
+    vm_id : VmId
+    claims : object, optional
+        With `async claim(endpoint_id, incarnation, service, score)`, which returns
+        whether the claim was accepted, and `async release(endpoint_id,
+        incarnation, service)`; both raise `PlatformError` while the log is
+        unavailable. Endpoints are only demoted without it.
+    rng : random.Random, optional
+        Chooses the peers that are asked.
+
+    `on_eject(endpoint_id)` is called when an endpoint becomes ejected.
+    """
+
+    def __init__(self, network, directory, vm_id, claims=None, rng=None):
+        self._network = network
+        self._directory = directory
+        self._vm_id = vm_id
+        self._claims = claims
+        self._rng = rng or random.Random()
+        self._states = {}
+        self._open = set()
+        self.on_eject = lambda endpoint_id: None
+        network.subscribe(msgs.EvidenceQuery, self._on_query)
+
+    async def run(self):
+        """Let time pass for every endpoint until cancelled."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._forget_gone()
+            for endpoint_id, state in list(self._states.items()):
+                self._execute(endpoint_id, state.tick(self._network.now()))
+
+    def marked(self, endpoint):
+        """Return an endpoint of this VM with its present health."""
+        return dataclasses.replace(endpoint, health=self._state(endpoint).health)
+
+    def admits(self, endpoint, idempotent):
+        """Return False if the endpoint is ejected and this is no trial."""
+        return self._state(endpoint).admits(idempotent)
+
+    def admitted(self, endpoint, run):
+        """Take note of an attempt that was let in."""
+        self._state(endpoint).run_admitted(run)
+
+    def started(self, endpoint, run, kind):
+        """Take note of an attempt that got a slot."""
+        age_s = time.time() - endpoint.incarnation / 1000
+        warm = endpoint.state is EndpointState.READY and warmup_ramp(age_s) >= 1.0
+        self._open.add(run)
+        self._state(endpoint).run_started(run, kind, warm, self._network.now())
+
+    def answered(self, endpoint, run, status):
+        """Take note of the start of a response.
+
+        The service time ends here: what follows depends on how fast the caller
+        reads.
+        """
+        end = RunEnd.FAILED if status >= SERVER_ERROR else RunEnd.OK
+        self._end(endpoint, run, STATUS_ENDS.get(status, end))
+
+    def ended(self, endpoint, run, reason, kind):
+        """Take note of the end of an attempt that was let in."""
+        if run in self._open or reason not in LATE_FAILURES:
+            self._end(endpoint, run, ENDS.get(reason, RunEnd.CUT_SHORT))
+            return
+        self.started(endpoint, run, kind)
+        self._end(endpoint, run, RunEnd.FAILED)
+
+    def revoked(self, endpoint_id, incarnation):
+        """Stop ejecting an endpoint whose claim the fold has released."""
+        self._handle(endpoint_id, incarnation, EndpointHealth.claim_revoked)
+
+    def below_floor(self, endpoint_id, incarnation):
+        """Readmit an endpoint as too few live members are in view."""
+        self._handle(endpoint_id, incarnation, EndpointHealth.below_floor)
+
+    def _end(self, endpoint, run, end):
+        self._open.discard(run)
+        state = self._state(endpoint)
+        commands = state.run_ended(run, end, self._network.now())
+        self._execute(endpoint.endpoint_id, commands)
+
+    def _state(self, endpoint):
+        state = self._states.get(endpoint.endpoint_id)
+        if state is None or state.ejection.incarnation != endpoint.incarnation:
+            state = EndpointHealth(
+                endpoint.endpoint_id, endpoint.incarnation, self._network.now()
+            )
+            state.ejection.log_available = self._claims is not None
+            self._states[endpoint.endpoint_id] = state
+        return state
+
+    def _forget_gone(self):
+        known = self._directory.endpoints
+        self._states = {e: s for e, s in self._states.items() if e in known}
+
+    def _handle(self, endpoint_id, incarnation, handler):
+        state = self._states.get(endpoint_id)
+        if state is not None and state.ejection.incarnation == incarnation:
+            self._execute(endpoint_id, handler(state, self._network.now()))
+
+    def _execute(self, endpoint_id, commands):
+        endpoint = self._directory.endpoints.get(endpoint_id)
+        if endpoint is None:
+            return
+        for command in commands:
+            if isinstance(command, QueryPeers):
+                self._network.spawn(self._query(endpoint, command))
+            elif isinstance(command, Claim):
+                self._network.spawn(self._claim(endpoint, command.score))
+            elif isinstance(command, Release):
+                self._network.spawn(self._release(endpoint))
+            elif isinstance(command, Eject):
+                self.on_eject(endpoint_id)
+        self._show(endpoint)
+
+    def _show(self, endpoint):
+        marked = self.marked(endpoint)
+        if marked.health is not endpoint.health:
+            self._directory.put_endpoint(marked)
+            event(
+                log,
+                "endpoint_health",
+                logging.WARNING,
+                endpoint=endpoint.endpoint_id,
+                health=marked.health.value,
+                score=self._state(endpoint).ejection.score,
+            )
+
+    async def _claim(self, endpoint, score):
+        key = (endpoint.endpoint_id, endpoint.incarnation)
+        try:
+            accepted = await self._claims.claim(*key, endpoint.service, score)
+        except PlatformError as exc:
+            event(log, "claim_failed", logging.WARNING, endpoint=key[0], detail=exc)
+            accepted = False
+        event(log, "claim_judged", endpoint=key[0], accepted=accepted)
+        if accepted:
+            self._handle(*key, EndpointHealth.claim_accepted)
+        else:
+            self._handle(*key, EndpointHealth.claim_refused)
+
+    async def _release(self, endpoint):
+        """Append the release, again and again until the log has taken it."""
+        key = (endpoint.endpoint_id, endpoint.incarnation)
+        while True:
+            try:
+                await self._claims.release(*key, endpoint.service)
+                break
+            except PlatformError as exc:
+                event(
+                    log, "release_failed", logging.WARNING, endpoint=key[0], detail=exc
+                )
+                await asyncio.sleep(RELEASE_RETRY_S)
+        self._handle(*key, EndpointHealth.released)
+
+    async def _query(self, endpoint, query):
+        others = [
+            other
+            for other in self._directory.endpoints_of(endpoint.service)
+            if other.endpoint_id != endpoint.endpoint_id
+        ]
+        peers = self._rng.sample(others, min(query.count, len(others)))
+        told = await asyncio.gather(*(self._ask(peer, query) for peer in peers))
+        replies = [reply for reply in told if reply is not None]
+        state = self._states.get(endpoint.endpoint_id)
+        if state is not None and state.ejection.incarnation == endpoint.incarnation:
+            commands = state.peers_replied(query, replies, self._network.now())
+            self._execute(endpoint.endpoint_id, commands)
+
+    async def _ask(self, peer, query):
+        msg = msgs.EvidenceQuery(
+            peer.endpoint_id, query.kinds, query.cap_logs, query.window_s
+        )
+        try:
+            reply = await self._network.ask(peer.vm_id, msg, QUERY_TIMEOUT_S)
+        except LinkError as exc:
+            event(log, "evidence_missing", endpoint=peer.endpoint_id, detail=exc)
+            return None
+        summaries = {s.kind: _summary_of(s) for s in reply.kinds}
+        return summaries if summaries.keys() >= set(query.kinds) else None
+
+    def _on_query(self, link, query):
+        state = self._states.get(query.endpoint_id)
+        told = []
+        for kind, cap_log in zip(query.kinds, query.cap_logs, strict=False):
+            now = self._network.now()
+            summary = state and state.summary(kind, cap_log, query.window_s, now)
+            if summary is not None:
+                told.append(msgs.KindSummary(kind, *dataclasses.astuple(summary)))
+        return msgs.EvidenceSummary(query.endpoint_id, tuple(told))
+
+
+def _summary_of(told):
+    return Summary(
+        told.count, told.failures, told.timed, told.median_log, told.spread_log
+    )
--- a/dandelionarch/wire/codec.py
+++ b/dandelionarch/wire/codec.py
@@ -12,7 +12,14 @@
 
 import capnp
 
-from dandelionarch.core.messages import limits, members, orders, request, streams
+from dandelionarch.core.messages import (
+    evidence,
+    limits,
+    members,
+    orders,
+    request,
+    streams,
+)
 from dandelionarch.errors import MessageDecodeError
 
 capnp.remove_import_hook()
@@ -28,6 +35,7 @@
     REQUEST = 0
     MEMBERS = 1
     STREAMS = 2
+    EVIDENCE = 4
     LIMITS = 5
     ORDERS = 7
 
@@ -36,6 +44,7 @@
     Channel.REQUEST: ("request.capnp", request.MESSAGES),
     Channel.MEMBERS: ("members.capnp", members.MESSAGES),
     Channel.STREAMS: ("streams.capnp", streams.MESSAGES),
+    Channel.EVIDENCE: ("evidence.capnp", evidence.MESSAGES),
     Channel.LIMITS: ("limits.capnp", limits.MESSAGES),
     Channel.ORDERS: ("orders.capnp", orders.MESSAGES),
 }
--- /dev/null
+++ b/tests/test_health.py
@@ -0,0 +1,228 @@
+"""Health of endpoints in the daemon: runs in, claims and messages out."""
+
+import asyncio
+import random
+
+import aiohttp
+import pytest
+
+from dandelionarch.core.directory import Directory
+from dandelionarch.core.messages.evidence import EvidenceQuery
+from dandelionarch.core.outcome import Reason
+from dandelionarch.core.world import Endpoint, Health
+from dandelionarch.daemon.health import HealthWatch
+from dandelionarch.errors import PlatformUnavailableError
+from dandelionarch.wire.codec import Codec
+from tests.support.fleet import CUSTOMER_KEY, Fleet
+
+COUNT = 4
+AUTH = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
+
+
+class FakeFleet:
+    """Health tasks that ask each other through the wire codec, on one clock."""
+
+    def __init__(self, claims=None):
+        self.time = 0.0
+        self.codec = Codec()
+        self.directory = Directory()
+        self.watches = {}
+        for number in range(COUNT):
+            self.directory.put_endpoint(endpoint(number))
+            vm_id = f"vm-{number}"
+            network = FakeNetwork(self, vm_id)
+            self.watches[vm_id] = HealthWatch(
+                network, self.directory, vm_id, claims, random.Random(1)
+            )
+
+    def run(self, number, reason=None, status=200, service_s=0.01):
+        """Run one request at an endpoint."""
+        watch, run = self.watches[f"vm-{number}"], object()
+        watch.admitted(endpoint(number), run)
+        watch.started(endpoint(number), run, "read")
+        self.time += service_s
+        if reason is None:
+            watch.answered(endpoint(number), run, status)
+        watch.ended(endpoint(number), run, reason, "read")
+
+    async def warm_up(self):
+        """Let every endpoint serve until all have a baseline."""
+        for _ in range(20):
+            for number in range(COUNT):
+                self.run(number)
+        self.time += 2.0
+        await self.settle()
+
+    async def settle(self):
+        """Let a tick of every task and what follows from it happen."""
+        tasks = [asyncio.create_task(w.run()) for w in self.watches.values()]
+        await asyncio.sleep(0.25)
+        for task in tasks:
+            task.cancel()
+
+    def health(self, number):
+        """Return the health that the directory has."""
+        return self.directory.endpoints[f"w-{number}"].health
+
+
+class FakeNetwork:
+    """Network of one VM."""
+
+    def __init__(self, fleet, vm_id):
+        self.fleet, self.vm_id, self.handlers, self.tasks = fleet, vm_id, {}, set()
+
+    def subscribe(self, cls, handler):
+        self.handlers[cls] = handler
+
+    def now(self):
+        return self.fleet.time
+
+    def spawn(self, coro):
+        task = asyncio.create_task(coro)
+        self.tasks.add(task)
+
+    async def ask(self, vm_id, msg, timeout_s):
+        codec, peer = self.fleet.codec, self.fleet.watches[vm_id]
+        msg = codec.decode(*codec.encode(msg))
+        return codec.decode(*codec.encode(peer._on_query(None, msg)))
+
+
+class Claims:
+    """Accepts every claim, or fails while the log is unavailable."""
+
+    def __init__(self, available=True):
+        self.available = available
+        self.claimed, self.released = [], []
+
+    async def claim(self, endpoint_id, incarnation, service, score):
+        if not self.available:
+            raise PlatformUnavailableError("no answer")
+        self.claimed.append(endpoint_id)
+        return True
+
+    async def release(self, endpoint_id, incarnation, service):
+        self.released.append(endpoint_id)
+
+
+def endpoint(number):
+    """Return an endpoint that started long ago."""
+    return Endpoint(f"w-{number}", f"vm-{number}", "orders", "", 0, 3, 330, 1)
+
+
+async def with_failures(claims, **run):
+    """Return a fleet whose first endpoint has served badly among good peers."""
+    fleet = FakeFleet(claims)
+    await fleet.warm_up()
+    for _ in range(10):
+        for number in range(1, COUNT):
+            fleet.run(number)
+        fleet.run(0, **run)
+    await asyncio.sleep(0.01)
+    return fleet
+
+
+class TestHealthWatch:
+    """Reported runs decide on demotion, claims and refusals."""
+
+    @pytest.mark.parametrize(
+        "run", [{"reason": Reason.WORKER_FAILED}, {"status": 500}], ids=str
+    )
+    def test_failing_endpoint_is_ejected_by_a_claim(self, run):
+        """Guards the way from the agent's runs to the claim and the refusal."""
+
+        async def body():
+            claims = Claims()
+            fleet = await with_failures(claims, **run)
+            watch = fleet.watches["vm-0"]
+            assert claims.claimed == ["w-0"]
+            assert fleet.health(0) is Health.EJECTED
+            assert watch.marked(endpoint(0)).health is Health.EJECTED
+            assert not watch.admits(endpoint(0), True)
+            assert [fleet.health(n) for n in (1, 2, 3)] == [Health.HEALTHY] * 3
+            watch.revoked("w-0", 1)
+            assert fleet.health(0) is Health.DEMOTED
+
+        asyncio.run(body())
+
+    @pytest.mark.parametrize("claims", [None, Claims(available=False)], ids=str)
+    def test_without_the_log_it_is_only_demoted(self, claims):
+        """Guards against ejection without an accepted claim."""
+
+        async def body():
+            fleet = await with_failures(claims, status=500)
+            assert fleet.health(0) is Health.DEMOTED
+            assert fleet.watches["vm-0"].admits(endpoint(0), False)
+
+        asyncio.run(body())
+
+    @pytest.mark.parametrize(
+        "run",
+        [{"reason": Reason.WORKER_REFUSED}, {"status": 503}, {"status": 504}],
+        ids=str,
+    )
+    def test_load_shedding_is_no_failure(self, run):
+        """Guards against ejections of endpoints that refuse at the crest."""
+
+        async def body():
+            fleet = await with_failures(Claims(), **run)
+            assert fleet.health(0) is Health.HEALTHY
+
+        asyncio.run(body())
+
+    def test_ejected_endpoint_is_no_yardstick(self):
+        """Guards the peers' median against known bad endpoints."""
+
+        async def body():
+            fleet = await with_failures(Claims(), status=500)
+            query = EvidenceQuery("w-0", ("read",), (0.0,), 60.0)
+            assert fleet.watches["vm-0"]._on_query(None, query).kinds == ()
+            query = EvidenceQuery("w-1", ("read",), (0.0,), 60.0)
+            assert fleet.watches["vm-1"]._on_query(None, query).kinds[0].count > 0
+
+        asyncio.run(body())
+
+
+class TestDaemon:
+    """Daemons and workers as processes."""
+
+    def test_failing_worker_is_demoted_and_avoided(self, tmp_path):
+        """Guards the wiring of agent, health task, load reports and selection."""
+        fleet = Fleet(tmp_path)
+        try:
+            asyncio.run(self._run(fleet))
+        finally:
+            fleet.stop()
+
+    async def _run(self, fleet):
+        fleet.start_log()
+        for number in range(3):
+            fleet.start_daemon(f"vm-{number}", seeds=["vm-0"] if number else [])
+            fleet.start_worker(f"w-{number}", "orders", f"vm-{number}")
+        async with aiohttp.ClientSession(headers=AUTH) as session:
+            await fleet.until(
+                lambda: fleet.status(session, "vm-2"), "third daemon serves"
+            )
+            fleet.publish()
+            await fleet.ready(session, ["w-0", "w-1", "w-2"])
+
+            async def demoted():
+                await self._send(fleet, session, 30)
+                status = await fleet.status(session, "vm-0")
+                return status["endpoints"]["w-0"]["health"] == "demoted"
+
+            await self._send(fleet, session, 150)
+            await asyncio.sleep(2.5)
+            faults = f"http://127.0.0.1:{fleet.workers['w-0'][0]}/standin/faults"
+            async with session.post(faults, json={"errors": 1.0}) as resp:
+                assert resp.status == 200
+            await fleet.until(demoted, "the endpoint is demoted")
+            assert await self._send(fleet, session, 60) >= 50
+
+    async def _send(self, fleet, session, count):
+        """Return how many of some requests by turns succeed."""
+        good = 0
+        for number in range(count):
+            port = fleet.daemons[f"vm-{number % 3}"].ingress
+            async with session.get(f"http://127.0.0.1:{port}/orders/1") as resp:
+                good += resp.status == 200
+        return good
