Measure detection, false ejections, the floor and each rule

Four tables with a row or column per policy, baselines included. A rule is switched off by replacing a constant or method for one run.

--- /dev/null
+++ b/dandelionarch/measure/floors.py
@@ -0,0 +1,77 @@
+"""Smallest capacity left by ejections when many workers look sick."""
+
+import math
+from dataclasses import dataclass
+
+from dandelionarch.core.world import Health
+from dandelionarch.measure.baselines import FIXED_HOLD_S
+from dandelionarch.measure.scenarios import build
+from dandelionarch.measure.workers import Fault
+
+START_S = 25.0
+END_S = 90.0
+OUTAGE_S = 10.0
+
+
+@dataclass(frozen=True)
+class FloorRun:
+    """A share of the workers that fails, one every `apart_s` seconds."""
+
+    share: float
+    apart_s: float
+    log_outage: bool = False
+
+
+FLOOR_RUNS = {
+    "30%, at once": FloorRun(0.3, 0.0),
+    "60%, at once": FloorRun(0.6, 0.0),
+    "all, at once": FloorRun(1.0, 0.0),
+    "30%, one every 4 s": FloorRun(0.3, 4.0),
+    "60%, one every 4 s": FloorRun(0.6, 4.0),
+    "all, one every 4 s": FloorRun(1.0, 4.0),
+    "60%, one every 4 s, log unavailable": FloorRun(0.6, 4.0, log_outage=True),
+}
+
+
+def floor_left(policy, name, workers, seed):
+    """Return the smallest share of endpoints that nobody ejects at some instant."""
+    scenario = FLOOR_RUNS[name]
+    model = build(policy, workers, seed)
+    if scenario.log_outage and model.log is not None:
+        model.timers.subscribe(OUTAGE_S, lambda: setattr(model.log, "available", False))
+    for number in range(math.ceil(scenario.share * workers)):
+        start_s = START_S + number * scenario.apart_s
+        fault = Fault(start_s=start_s, error_share=0.6, slow=2.0)
+        model.agents[number].worker.faults.append(fault)
+    model.run(END_S)
+    return 1 - most_at_once(ejected_spans(model)) / workers
+
+
+def ejected_spans(model):
+    """Yield (start, end) in seconds and endpoint of each ejection."""
+    for agent in model.agents:
+        endpoint_id, since = agent.endpoint.endpoint_id, None
+        for now, health in getattr(agent.detector, "history", ()):
+            out = health in (Health.EJECTED, Health.TRIAL)
+            if out and since is None:
+                since = now
+            elif not out and since is not None:
+                yield since, now, endpoint_id
+                since = None
+        if since is not None:
+            yield since, math.inf, endpoint_id
+    for ingress in model.ingresses:
+        for now, endpoint_id in getattr(ingress.filter, "ejections", ()):
+            yield now, now + FIXED_HOLD_S, endpoint_id
+
+
+def most_at_once(spans):
+    """Return the largest number of distinct endpoints ejected at an instant."""
+    spans = list(spans)
+    return max(
+        (
+            len({endpoint for start, end, endpoint in spans if start <= now < end})
+            for now, _, _ in spans
+        ),
+        default=0,
+    )
--- /dev/null
+++ b/dandelionarch/measure/rules.py
@@ -0,0 +1,154 @@
+"""Rules of detection, ejection and selection that a measurement switches off."""
+
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from unittest import mock
+
+from dandelionarch.core import detection, selection
+from dandelionarch.core.detection import Detector
+from dandelionarch.core.ejection import Ejection
+from dandelionarch.core.health import EndpointHealth
+from dandelionarch.measure import scenarios
+
+POLICY = "dandelionarch"
+
+
+@dataclass(frozen=True)
+class Rule:
+    """A rule, the scenario that shows its use, and how to switch it off.
+
+    `patches()` returns context managers.
+    """
+
+    name: str
+    scenario: str
+    patches: Callable
+
+    @property
+    def is_fault(self):
+        """Return True if the scenario is a gray failure."""
+        return self.scenario in scenarios.FAULTS
+
+
+def constant(module, name, value):
+    """Return patches that replace a constant."""
+    return lambda: [mock.patch.object(module, name, value)]
+
+
+def method(cls, name, function):
+    """Return patches that replace a method."""
+    return lambda: [mock.patch.object(cls, name, function)]
+
+
+def _never_cap(self, run, now):
+    return False
+
+
+def _confirm_at_once(self, suspicion, replies, now):
+    self._suspicion = None
+    score = self._severity(suspicion.alarm)
+    self.restart()
+    return [detection.Confirmed(suspicion.kinds, score, True, True)]
+
+
+def _all_are_warm(original):
+    def run_started(self, run_id, kind, warm, now):
+        original(self, run_id, kind, True, now)
+
+    return run_started
+
+
+def _own_kind_only(original):
+    def suspect(self, kind, now):
+        self._tests = detection.Tests()
+        return original(self, kind, now)
+
+    return suspect
+
+
+def _all_kinds_only(original):
+    def suspect(self, kind, now):
+        self.kinds[kind].tests = detection.Tests()
+        return original(self, kind, now)
+
+    return suspect
+
+
+def _claim_at_first_verdict(original):
+    def judged(self, score, compared, sure, now):
+        return original(self, score, compared, True, now)
+
+    return judged
+
+
+def _any_answers(self, kind, cap_log, window_s, now):
+    return self.detector.summary(kind, cap_log, window_s, now)
+
+
+RULES = (
+    Rule(
+        "runs in progress count at the cap",
+        "hangs, healthy to probes",
+        method(Detector, "_reached_cap", _never_cap),
+    ),
+    Rule(
+        "test per kind",
+        "one kind 10 times slower",
+        method(Detector, "_suspect", _all_kinds_only(Detector._suspect)),
+    ),
+    Rule(
+        "test over all kinds",
+        "10 times slower",
+        method(Detector, "_suspect", _own_kind_only(Detector._suspect)),
+    ),
+    Rule(
+        "cap of service time",
+        "quiet",
+        constant(detection, "CAP_SPREADS", 8.0),
+    ),
+    Rule(
+        "comparison with peers",
+        "crest, all 3 times slower",
+        method(Detector, "_judge", _confirm_at_once),
+    ),
+    Rule(
+        "baseline moves to a shared level",
+        "crest, all 3 times slower",
+        method(Detector, "_use_shared_level", lambda self, peers: None),
+    ),
+    Rule(
+        "second verdict before a claim for slowness",
+        "3% stragglers",
+        method(
+            Ejection,
+            "judged",
+            _claim_at_first_verdict(Ejection.judged),
+        ),
+    ),
+    Rule(
+        "cold runs are no evidence of slowness",
+        "cold starts",
+        method(Detector, "run_started", _all_are_warm(Detector.run_started)),
+    ),
+    Rule(
+        "unhealthy endpoints are no yardstick",
+        "3 times slower",
+        method(EndpointHealth, "summary", _any_answers),
+    ),
+    Rule(
+        "demoted endpoints last",
+        "3 times slower",
+        constant(selection, "healthy_first", lambda cands, drops, rng: cands),
+    ),
+)
+
+
+def measure(name, off, workers, seed):
+    """Run a rule's scenario, with the rule switched off if asked."""
+    rule = next(rule for rule in RULES if rule.name == name)
+    run = scenarios.detection_s if rule.is_fault else scenarios.false_ejections
+    with contextlib.ExitStack() as stack:
+        for patch in rule.patches() if off else ():
+            stack.enter_context(patch)
+        return run(POLICY, rule.scenario, workers, seed)
