Leave out VMs whose link fails, for 1 s doubling to 8 s

A link that is refused, lost or silent with requests outstanding is a fault of the ingress's link, not of the endpoint; the first message that arrives ends the hold.

--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -7,6 +7,7 @@
 import random
 
 from dandelionarch.core.ingress import Deliver, Dispatch, RequestLife
+from dandelionarch.core.links import LinkFaults
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.refusals import RefusalMemory
@@ -39,6 +40,7 @@
         self._in_flight = {}
         self._loads = {}
         self._refusals = RefusalMemory()
+        self._link_faults = LinkFaults()
         self.decisions = {}
         self.on_load = lambda load: None
         for cls in (msgs.ResponseHead, msgs.ResponseChunk, msgs.Refusal, msgs.Failure):
@@ -111,6 +113,8 @@
 
     def _add_report(self, cand):
         now = asyncio.get_running_loop().time()
+        cand.link_up = self._link_faults.is_up(cand.endpoint.vm_id, now)
+        cand.link_faults = self._link_faults.count(cand.endpoint.vm_id)
         told = self._loads.get(cand.endpoint.endpoint_id)
         if told is not None:
             told_s, load, others = told
@@ -141,6 +145,7 @@
             return life.expired()
         except LinkError:
             # Raised by connecting or by sending the head: no byte has left.
+            self._link_faults.failed(endpoint.vm_id, loop.time())
             return life.not_run(Reason.LINK_DOWN, loop.time())
         finally:
             streaming = isinstance(command, Deliver) and not life.answer.whole
@@ -243,6 +248,7 @@
         if stream is None or stream.link is not link:
             event(log, "late_reply", attempt=msg.attempt_id, type=type(msg).__name__)
             return
+        self._link_faults.worked(link.vm_id)
         load = getattr(msg, "load", None)
         if load is not None and load.endpoint_id:
             own = self._in_flight.get(load.endpoint_id, 0)
@@ -265,9 +271,11 @@
         agent.on_credit(link, msg)
 
     def _on_link_lost(self, link):
-        for stream in self._streams.values():
-            if stream.link is link:
-                stream.mailbox.put_nowait(LinkLost())
+        lost = [s for s in self._streams.values() if s.link is link]
+        for stream in lost:
+            stream.mailbox.put_nowait(LinkLost())
+        if lost:
+            self._link_faults.failed(link.vm_id, asyncio.get_running_loop().time())
 
     def _log_decision(self, work, command):
         decision = command.decision
