--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -207,8 +207,6 @@
     def _refuse_evicted(self, local):
         for run in local.queue.take_evicted():
             self._refuse(run, local, Reason.QUEUE_FULL)
-            self._watch.ended(local.endpoint, run, run.reason, run.head.kind)
-            self._runs.pop((run.link, run.head.attempt_id), None)
             run.task.cancel()
 
     def _refuse_waiting(self, endpoint_id):
