--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -120,7 +120,7 @@
         self._ingress = ingress
         self._state = state
         self._limits = limits
-        self._metrics = metrics or Metrics()
+        self.metrics = metrics or Metrics()
         self._rng = random.Random()
         self.in_flight = 0
         self.stopping = False
@@ -171,7 +171,7 @@
             status=status,
             error=error,
         )
-        self._metrics.incr(f"refused.{status}")
+        self.metrics.incr(f"refused.{status}")
 
     async def _handle(self, request, path=""):
         if self.in_flight >= self._limits.max_in_flight:
@@ -181,11 +181,12 @@
         if self._state.lists is None:
             return self._turn_away(Reason.NOT_READY)
         self.in_flight += 1
-        self._metrics.gauge("in_flight", self.in_flight)
+        self.metrics.gauge("in_flight", self.in_flight)
         try:
             return await self._serve(request)
         finally:
             self.in_flight -= 1
+            self.metrics.gauge("in_flight", self.in_flight)
 
     # Keeps sanic from reading the body; a bound method takes no attributes.
     _handle.is_stream = True
@@ -193,7 +194,7 @@
     def _turn_away(self, reason):
         request_id = uuid.uuid4().hex
         event(log, "refused", logging.WARNING, request=request_id, reason=reason.value)
-        self._metrics.incr(f"refused.{reason.value}")
+        self.metrics.incr(f"refused.{reason.value}")
         retry_after_s = RETRY_AFTER_MIN_S + self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
         return problem(503, reason.value, request_id, retry_after_s=retry_after_s)
 
@@ -361,7 +362,7 @@
                 request=work.request_id,
                 detail=str(exc),
             )
-            self._metrics.incr("answer_aborted")
+            self.metrics.incr("answer_aborted")
             request.transport.abort()
             return
         self._log_outcome(work, Outcome.ANSWER, answer.status, started)
@@ -378,6 +379,6 @@
             "ms": round(elapsed * 1000, 2),
         }
         event(log, "outcome", **fields)
-        self._metrics.incr(f"outcome.{outcome.value}")
-        self._metrics.timing("latency", elapsed * 1000)
+        self.metrics.incr(f"outcome.{outcome.value}")
+        self.metrics.timing("latency", elapsed * 1000)
         self._ingress.remember(work.request_id, "outcome", fields)
--- /dev/null
+++ b/tests/test_metrics.py
@@ -0,0 +1,43 @@
+"""Metrics of the request path."""
+
+import asyncio
+import socket
+
+from dandelionarch.metrics import Metrics
+from tests.support.path import fleet_test
+
+
+class TestPathMetrics:
+    """Outcomes, latencies and requests in flight go to statsd."""
+
+    @fleet_test
+    async def test_names(self, fleet, session):
+        """Guards the names on which dashboards and alarms rely."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sock.bind(("127.0.0.1", 0))
+        sock.setblocking(False)
+        daemon = await fleet.daemon("vm-a")
+        daemon.http.metrics = Metrics("127.0.0.1", sock.getsockname()[1], "d")
+        worker = await fleet.worker("w1", "vm-a")
+        for refuse in (False, True):
+            worker.faults.refuse = refuse
+            async with session.post(fleet.url("vm-a")) as resp:
+                await resp.read()
+        async with session.get(fleet.url("vm-a", "/nowhere")) as resp:
+            await resp.read()
+        await asyncio.sleep(0.05)
+        seen = set()
+        while True:
+            try:
+                name, _, value = sock.recv(1024).decode().partition(":")
+            except BlockingIOError:
+                break
+            seen.add((name, value.rpartition("|")[2]))
+        sock.close()
+        assert seen == {
+            ("d.in_flight", "g"),
+            ("d.latency", "ms"),
+            ("d.outcome.answer", "c"),
+            ("d.outcome.not-run", "c"),
+            ("d.refused.404", "c"),
+        }
