--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import logging
+import time
 
 import aiohttp
 
-from dandelionarch.core.admission import SlotQueue
+from dandelionarch.core.admission import CostQueue
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
+from dandelionarch.core.selection import warmup_ramp
 from dandelionarch.core.world import EndpointState
 from dandelionarch.daemon.headers import end_to_end
 from dandelionarch.daemon.workers import Call, WorkerPool, refused
@@ -24,11 +26,12 @@
 
 CHUNK_BYTES = 64 << 10
 WINDOW_BYTES = 256 << 10
-QUEUE_PER_SLOT = 2
 # The agent gives up a little before the ingress does; otherwise the ingress's
 # cancellation comes first, and nothing is learnt about the endpoint.
 DEADLINE_MARGIN_S = 0.02
 
+REFUSALS = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
+
 
 class Run:
     """One attempt at the agent: its body as it arrives, and its sending window."""
@@ -42,6 +45,7 @@
         self.window = WINDOW_BYTES
         self.window_open = asyncio.Event()
         self.started = asyncio.Event()
+        self.answered = False
         self.call = Call()
         self.task = None
         if head.data or head.last:
@@ -91,7 +95,7 @@
 
     def __init__(self, endpoint):
         self.endpoint = endpoint
-        self.queue = SlotQueue(endpoint.slots, endpoint.slots * QUEUE_PER_SLOT)
+        self.queue = CostQueue(endpoint.slots)
 
     def load(self):
         """Return the `LoadReport` that goes with each reply."""
@@ -101,7 +105,7 @@
             self.queue.queued,
             self.endpoint.slots,
             self.endpoint.health.value,
-            1.0,
+            warmup_ramp(time.time() - self.endpoint.incarnation / 1000),
         )
 
 
@@ -153,8 +157,13 @@
         reason = self._refusal_reason(local)
         run = Run(link, head)
         if reason is None:
-            verdict = local.queue.offer(run)
-            reason = Reason.QUEUE_FULL if verdict == "refuse" else None
+            now = asyncio.get_running_loop().time()
+            deadline = now + head.budget_ms / 1000
+            verdict = local.queue.offer(
+                run, now, head.route, deadline, head.priority, head.may_wait
+            )
+            self._refuse_evicted(local)
+            reason = REFUSALS.get(verdict)
         if reason is not None:
             self._refuse(run, local, reason)
             return
@@ -163,6 +172,8 @@
         if verdict == "run":
             run.started.set()
         run.task = asyncio.get_running_loop().create_task(self._run(run, local))
+        # A task that is cancelled before its first step runs no `finally`.
+        run.task.add_done_callback(lambda _: self._ended(run, local))
 
     def _refusal_reason(self, local):
         if self.stopping:
@@ -175,6 +186,8 @@
 
     def _refuse(self, run, local, reason):
         load = local.load() if local else msgs.LoadReport("", 0, 0, 0, "healthy", 1.0)
+        now = asyncio.get_running_loop().time()
+        retry_after_ms = int(local.queue.retry_after_s(now) * 1000) if local else 0
         event(
             log,
             "placement",
@@ -183,7 +196,13 @@
             verdict="refused",
             reason=reason.value,
         )
-        run.send(msgs.Refusal(run.head.attempt_id, reason.value, 0, load))
+        run.send(msgs.Refusal(run.head.attempt_id, reason.value, retry_after_ms, load))
+
+    def _refuse_evicted(self, local):
+        for run in local.queue.take_evicted():
+            self._refuse(run, local, Reason.QUEUE_FULL)
+            self._runs.pop((run.link, run.head.attempt_id), None)
+            run.task.cancel()
 
     def _on_chunk(self, link, msg):
         run = self._runs.get((link, msg.attempt_id))
@@ -221,17 +240,18 @@
             self._refuse(run, local, Reason.TOO_LATE)
         except asyncio.CancelledError:
             event(log, "run_cancelled", request=head.request_id)
-        finally:
-            run.link.end()
-            self._runs.pop((run.link, head.attempt_id), None)
-            self._release(run, local)
 
-    def _release(self, run, local):
-        if not run.started.is_set() and local.queue.withdraw(run):
+    def _ended(self, run, local):
+        run.link.end()
+        self._runs.pop((run.link, run.head.attempt_id), None)
+        if not run.started.is_set():
+            local.queue.withdraw(run)
             return
-        following = local.queue.finish()
+        now = asyncio.get_running_loop().time()
+        following = local.queue.finish(run, now, run.answered)
         if following is not None:
             following.started.set()
+        self._refuse_evicted(local)
 
     async def _call(self, run, local, deadline):
         endpoint = local.endpoint
@@ -321,3 +341,4 @@
             data = await resp.content.read(CHUNK_BYTES)
             last = resp.content.at_eof()
             await run.send_part(msgs.ResponseChunk(attempt_id, data, last))
+        run.answered = True
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -6,9 +6,12 @@
 import logging
 import random
 
+from dandelionarch.core.hedging import HedgeDelays
 from dandelionarch.core.ingress import Deliver, Dispatch, RequestLife
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
+from dandelionarch.core.refusals import RefusalMemory
+from dandelionarch.core.retries import RetryBudget, ReturnSchedule
 from dandelionarch.core.selection import Candidate, TwoChoices, select
 from dandelionarch.core.world import Health
 from dandelionarch.daemon.agent import CHUNK_BYTES
@@ -30,11 +33,16 @@
         self._directory = directory
         self._rng = rng or random.Random()
         self._policy = TwoChoices()
+        self._retries = RetryBudget()
+        self._returns = ReturnSchedule()
+        self._hedging = HedgeDelays()
         self._attempt_ids = itertools.count(1)
         self._streams = {}
         self._in_flight = {}
         self._loads = {}
+        self._refusals = RefusalMemory()
         self.decisions = {}
+        self.on_load = lambda load: None
         for cls in (msgs.ResponseHead, msgs.ResponseChunk, msgs.Refusal, msgs.Failure):
             network.subscribe(cls, self._on_reply)
         network.subscribe(
@@ -64,45 +72,85 @@
         CallerBodyError
             If the caller's body could not be read to its end.
         """
+        loop = asyncio.get_running_loop()
         life = RequestLife(
-            work, self._choose, deadline, self._rng, replayable=req.replayable
+            work,
+            self._choose,
+            deadline,
+            self._rng,
+            lambda reason, proven: self._retries.may_retry(loop.time(), reason, proven),
+            self.retry_after_s,
+            req.replayable,
+            lambda: self._reserve(req),
         )
-        loop = asyncio.get_running_loop()
+        self._retries.first(loop.time())
         command = life.start(loop.time())
         while isinstance(command, Dispatch):
             command = await self._attempt(life, work, req, command)
         if isinstance(command, Deliver):
+            self._returns.answered(loop.time())
             return life.answer
         if command.reason is Reason.CALLER_BODY:
             raise CallerBodyError(command.outcome, life.caller_error)
         return command
 
+    def _reserve(self, req):
+        """Reserve a redirect for a request that goes to its agent in one message."""
+        if not _inline(req):
+            return None
+        return self._retries.reserve(asyncio.get_running_loop().time())
+
+    def retry_after_s(self, least_s=0.0):
+        """Return the `Retry-After` of a refusal given now, in seconds."""
+        now = asyncio.get_running_loop().time()
+        return self._returns.retry_after_s(now, self._rng, least_s)
+
     def _choose(self, service, tried):
         candidates = []
+        own = self._directory.vms.get(self._network.vm_id)
         for endpoint in self._directory.endpoints_of(service):
             vm = self._directory.vms.get(endpoint.vm_id)
             cand = Candidate(endpoint, vm)
             cand.in_flight = self._in_flight.get(endpoint.endpoint_id, 0)
-            load = self._loads.get(endpoint.endpoint_id)
-            if load is not None:
-                cand.warmup = load.warmup
-                cand.health = Health(load.health)
+            if own is not None and vm is not None:
+                cand.near = vm.data_centre == own.data_centre
+            self._add_report(cand)
             candidates.append(cand)
         return select(candidates, self._policy, self._rng, tried)
 
+    def _add_report(self, cand):
+        now = asyncio.get_running_loop().time()
+        told = self._loads.get(cand.endpoint.endpoint_id)
+        if told is not None:
+            told_s, load, others = told
+            cand.age_s = now - told_s
+            cand.reported = others
+            cand.warmup = load.warmup
+            cand.health = Health(load.health)
+            cand.health_age_s = cand.age_s
+        if self._refusals.holds(cand.endpoint.endpoint_id, now):
+            # Whatever its reports say, it has no slot for this ingress.
+            cand.age_s, cand.reported = 0.0, cand.endpoint.slots
+
     async def _attempt(self, life, work, req, command):
         loop = asyncio.get_running_loop()
         endpoint = command.endpoint
         self._log_decision(work, command)
         stream = None
-        command, ended = None, False
+        may_wait, command, ended = command.may_wait, None, False
+        began = loop.time()
         try:
             async with asyncio.timeout_at(life.deadline):
                 link = await self._network.link(endpoint.vm_id)
                 stream = self._open(endpoint, link)
-                self._send_request(stream, work, req, life.deadline - loop.time())
+                budget_s = life.deadline - loop.time()
+                self._send_request(stream, work, req, budget_s, may_wait)
                 life.sent()
-                command, ended = await self._await_answer(life, stream)
+                stream, msg = await self._first_reply(life, work, req, stream)
+                command, ended = await self._await_answer(life, stream, msg)
+            if isinstance(command, Deliver):
+                delay_s = loop.time() - began
+                self._hedging.observe(work.service, work.route, delay_s)
             return command
         except TimeoutError:
             return life.expired()
@@ -121,8 +169,8 @@
         link.begin()
         return stream
 
-    def _send_request(self, stream, work, req, budget_s):
-        inline = req.rest is None and len(req.body) <= CHUNK_BYTES
+    def _send_request(self, stream, work, req, budget_s, may_wait):
+        inline = _inline(req)
         stream.link.send(
             msgs.RequestHead(
                 stream.attempt_id,
@@ -139,17 +187,76 @@
                 req.headers,
                 req.body if inline else b"",
                 inline,
+                may_wait,
             )
         )
         if not inline:
             stream.sender = self._network.spawn(stream.send_body(req))
 
-    async def _await_answer(self, life, stream):
+    async def _first_reply(self, life, work, req, stream):
+        """Return the attempt that is answered first and its first message.
+
+        An idempotent request that straggles gets a second attempt; the other one is
+        cancelled.
+        """
+        delay_s = self._hedging.delay_s(work.service, work.route)
+        if delay_s is None:
+            return stream, await stream.mailbox.get()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay_s):
+                return stream, await stream.mailbox.get()
+        second = await self._second_attempt(life, work, req)
+        if second is None:
+            return stream, await stream.mailbox.get()
+        return await self._race(life, stream, second)
+
+    async def _second_attempt(self, life, work, req):
+        """Return a further attempt on another endpoint, or None."""
+        loop = asyncio.get_running_loop()
+        command = life.hedge(loop.time())
+        if command is None:
+            return None
+        self._log_decision(work, command)
+        endpoint = command.endpoint
+        try:
+            if not self._network.is_up(endpoint.vm_id):
+                return None
+            stream = self._open(endpoint, await self._network.link(endpoint.vm_id))
+            self._send_request(stream, work, req, life.deadline - loop.time(), True)
+        except LinkError:
+            return None
+        return stream
+
+    async def _race(self, life, first, second):
+        """Return the attempt that is answered, or fails last, and its message."""
+        gets = {
+            asyncio.ensure_future(stream.mailbox.get()): stream
+            for stream in (first, second)
+        }
+        kept = first
+        try:
+            while True:
+                done, _ = await asyncio.wait(gets, return_when=asyncio.FIRST_COMPLETED)
+                get = done.pop()
+                kept, msg = gets.pop(get), get.result()
+                if isinstance(msg, msgs.ResponseHead) or not gets:
+                    return kept, msg
+                if not isinstance(msg, msgs.Refusal):
+                    life.one_failed()
+                self.close(kept, cancel=False)
+        finally:
+            for get in gets:
+                get.cancel()
+            for stream in (first, second):
+                if stream is not kept:
+                    self.close(stream, cancel=True)
+
+    async def _await_answer(self, life, stream, msg):
         """Return (command, True if the agent has ended the attempt)."""
         loop = asyncio.get_running_loop()
-        msg = await stream.mailbox.get()
         if isinstance(msg, msgs.Refusal):
-            return life.not_run(_reason(msg), loop.time()), True
+            least_s = msg.retry_after_ms / 1000
+            return life.not_run(_reason(msg), loop.time(), least_s), True
         if isinstance(msg, msgs.Failure):
             return life.failed(_reason(msg), loop.time()), True
         if isinstance(msg, LinkLost):
@@ -211,7 +318,16 @@
             return
         load = getattr(msg, "load", None)
         if load is not None and load.endpoint_id:
-            self._loads[load.endpoint_id] = load
+            own = self._in_flight.get(load.endpoint_id, 0)
+            others = max(0, load.running + load.queued - own)
+            now = asyncio.get_running_loop().time()
+            self._loads[load.endpoint_id] = (now, load, others)
+            self.on_load(load)
+        if isinstance(msg, msgs.Refusal) and msg.reason != Reason.BUSY.value:
+            now = asyncio.get_running_loop().time()
+            self._refusals.refused(stream.endpoint_id, now)
+        elif isinstance(msg, msgs.ResponseHead):
+            self._refusals.taken(stream.endpoint_id)
         stream.mailbox.put_nowait(msg)
 
     def _on_credit(self, link, msg, agent):
@@ -249,6 +365,11 @@
             self.decisions.pop(next(iter(self.decisions)))
 
 
+def _inline(req):
+    """Return True if a request's body goes with its head."""
+    return req.rest is None and len(req.body) <= CHUNK_BYTES
+
+
 def _reason(msg):
     """Return the reason in a message, also if a newer daemon has sent it."""
     try:
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -82,6 +82,14 @@
     """The log service did not answer; an append may or may not have taken effect."""
 
 
+class PlatformUnreachableError(PlatformUnavailableError):
+    """No connection to the log service came about, so nothing was sent."""
+
+
+class NoCheckpointError(PlatformError):
+    """The log starts after the first record and holds no usable checkpoint."""
+
+
 class RecordTooLargeError(PlatformError):
     """A record is larger than the log service accepts."""
 
@@ -116,6 +124,22 @@
     """The daemon has no accepted configuration yet."""
 
 
+class StreamError(DandelionError):
+    """A stream of the log or a copy of it can't be used."""
+
+
+class EntryError(StreamError):
+    """A log entry or a payload for one is outside the format's limits."""
+
+
+class SnapshotError(StreamError):
+    """A checkpoint or a peer's state can't be read."""
+
+
+class PublicationError(StreamError):
+    """A record of the configuration stream is not a publication."""
+
+
 class WorkerUnreachableError(DandelionError):
     """No connection to an endpoint could be opened; no byte was sent to it."""
 
--- a/dandelionarch/measure/__main__.py
+++ b/dandelionarch/measure/__main__.py
@@ -6,13 +6,15 @@
 
 # Each module has `NAME`, `HELP` and `main(args)`, which takes the rest of the
 # command line and returns an exit code. Without a name, all run in this order.
-MODULES = ("speed",)
+MODULES = ("blocking", "crest", "floor", "membership", "orders", "speed")
+# These run only when they are named.
+NAMED_ONLY = ("chaos",)
 
 
 def load_modules():
     """Return the measurement modules by name."""
-    modules = (importlib.import_module(f"dandelionarch.measure.{m}") for m in MODULES)
-    return {module.NAME: module for module in modules}
+    names = (*MODULES, *NAMED_ONLY)
+    return {m: importlib.import_module(f"dandelionarch.measure.{m}") for m in names}
 
 
 def main(argv=None):
@@ -27,7 +29,7 @@
         return modules[args.name].main(rest)
     if rest:
         parser.error(f"options need a measurement: {', '.join(modules)}")
-    return max(module.main([]) for module in modules.values())
+    return max(modules[name].main([]) or 0 for name in MODULES)
 
 
 if __name__ == "__main__":
--- a/dandelionarch/measure/processes.py
+++ b/dandelionarch/measure/processes.py
@@ -1,116 +1,295 @@
-"""Processes of the product for measurements, on loopback, with their use of it."""
+"""Starts the programs as separate processes on loopback and ends them."""
 
+import asyncio
 import contextlib
 import hashlib
-import json
+import itertools
 import os
+import signal
 import socket
 import subprocess
 import sys
 import time
-import urllib.request
-from pathlib import Path
 
-START_TIMEOUT_S = 30.0
-STOP_TIMEOUT_S = 15.0
-SHARED_KEY = "key of the measured fleet"
-CUSTOMER_KEY = "measure"
-CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
-PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+import aiohttp
+
+SHARED_KEY = "0123456789abcdef-test"
+START_TIMEOUT_S = 20.0
+CUSTOMER_KEY = "key-of-shop"
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+PORTS_PER_PROCESS = 331
+
+DAEMON_SETTINGS = """\
+[daemon]
+vm = {vm}
+data_centre = {data_centre}
+ingress_port = {ingress}
+peer_port = {peer}
+gossip_port = {gossip}
+admin_port = {admin}
+seeds = {seeds}
+shared_key = {key}
+log_url = http://127.0.0.1:{log}
+"""
 
 PLANS = f"""\
-[customer load]
+[customer shop]
 key_digest = {hashlib.sha256(CUSTOMER_KEY.encode()).hexdigest()}
 plan = gold
 """
 
+ALLOWANCES = """\
+[service orders]
+floor = 50%
+
+[route read]
+service = orders
+path = /orders
+methods = GET
+kind = read
+budget_ms = 3000
+
+[route create]
+service = orders
+path = /orders
+methods = POST
+kind = create
+idempotent = false
+budget_ms = 3000
+
+[plan gold]
+priority = 0
+
+[allow gold orders]
+rate = 1000
+burst = 1000
+"""
+
+
+def _port_numbers():
+    """Yield port numbers below the range that the kernel gives to clients.
+
+    Each process begins elsewhere, so that runs at the same time rarely meet.
+    """
+    size = LAST_PORT - FIRST_PORT
+    start = os.getpid() * PORTS_PER_PROCESS
+    for number in itertools.count(start):
+        yield FIRST_PORT + number % size
+
 
-class MeasureError(Exception):
-    """A measured process did not do what the measurement needs."""
+_PORTS = _port_numbers()
 
 
 def free_ports(count):
-    """Return distinct free loopback ports."""
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind(("127.0.0.1", 0))
-        return [sock.getsockname()[1] for sock in socks]
+    """Return distinct loopback ports that are free for TCP and UDP."""
+    return list(itertools.islice(filter(_is_free, _PORTS), count))
 
 
-def cpu_s(pid):
-    """Return the processor time of a process in seconds."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+def _is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                return False
+    return True
+
+
+class DaemonProcess:
+    """Addresses and process of one daemon."""
 
+    def __init__(self, vm, data_centre):
+        self.vm = vm
+        self.data_centre = data_centre
+        self.ingress, self.peer, self.gossip, self.admin = free_ports(4)
+        self.process = None
 
-def resident_bytes(pid):
-    """Return the resident memory of a process."""
-    return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_BYTES
 
+class Fleet:
+    """A log stand-in, daemons and workers, each a process of its own.
 
-class Programs:
-    """Starts programs of the package and ends them, by their ids."""
+    Parameters
+    ----------
+    directory : Path
+        Where settings and logs are written.
+    """
 
     def __init__(self, directory):
-        self.directory = Path(directory)
-        self._processes = []
+        self.directory = directory
+        self.daemons = {}
+        self.workers = {}
+        self.log_port, self.log_control_port = free_ports(2)
+        self.log_process = None
+        self.processes = []
 
-    def __enter__(self):
-        return self
+    def start_log(self, *options):
+        """Start the log stand-in."""
+        self.log_process = self._start(
+            "log",
+            "standin",
+            "log",
+            "--port",
+            str(self.log_port),
+            "--control-port",
+            str(self.log_control_port),
+            *options,
+        )
+        return self.log_process
 
-    def __exit__(self, *exc):
-        for process in reversed(self._processes):
-            process.terminate()
-        for process in self._processes:
-            try:
-                process.wait(STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
-
-    def start(self, program, *args):
-        """Start a program in the background and return its process."""
-        with open(self.directory / "programs.log", "ab") as out:
+    def start_daemon(self, vm, data_centre="dc-1", seeds=(), extra=""):
+        """Start one daemon; `seeds` are names of daemons started before."""
+        daemon = self.daemons.get(vm) or DaemonProcess(vm, data_centre)
+        self.daemons[vm] = daemon
+        path = self.directory / f"{vm}.ini"
+        path.write_text(
+            DAEMON_SETTINGS.format(
+                vm=vm,
+                data_centre=data_centre,
+                ingress=daemon.ingress,
+                peer=daemon.peer,
+                gossip=daemon.gossip,
+                admin=daemon.admin,
+                seeds=",".join(f"127.0.0.1:{self.daemons[s].peer}" for s in seeds),
+                key=SHARED_KEY,
+                log=self.log_port,
+            )
+            + extra
+        )
+        daemon.process = self._start(vm, "daemon", str(path))
+        return daemon
+
+    def start_worker(self, endpoint, service, vm, *options):
+        """Start a worker beside a daemon; return its port."""
+        port = free_ports(1)[0]
+        process = self._start(
+            endpoint,
+            "standin",
+            "worker",
+            "--port",
+            str(port),
+            "--endpoint",
+            endpoint,
+            "--service",
+            service,
+            "--daemon",
+            f"127.0.0.1:{self.daemons[vm].admin}",
+            *options,
+        )
+        self.workers[endpoint] = (port, process)
+        return port
+
+    def publish(self, plans=PLANS, allowances=ALLOWANCES):
+        """Publish both lists by `dandelionctl` and return the finished process."""
+        for name, text in (("plans.ini", plans), ("allowances.ini", allowances)):
+            (self.directory / name).write_text(text)
+        return self.ctl("publish", "plans.ini", "allowances.ini", "--log", self.log_url)
+
+    @property
+    def log_url(self):
+        """Return the URL of the log stand-in."""
+        return f"http://127.0.0.1:{self.log_port}"
+
+    def ctl(self, *args):
+        """Run `dandelionctl` and return the finished process."""
+        return subprocess.run(
+            [sys.executable, "-m", "dandelionarch.ctl.main", *args],
+            cwd=self.directory,
+            env=_environment(),
+            capture_output=True,
+            text=True,
+            timeout=60,
+            check=False,
+        )
+
+    def start_ctl(self, *args):
+        """Start `dandelionctl` and return the running process."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", "dandelionarch.ctl.main", *args],
+            cwd=self.directory,
+            env=_environment(),
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        self.processes.append(process)
+        return process
+
+    def start_load(self, ports, route, rate, duration_s):
+        """Start `dandelion-load` on one route through several daemons."""
+        targets = [f"--target=http://127.0.0.1:{port}" for port in ports]
+        return self._start(
+            "load",
+            "load",
+            *targets,
+            *("--customer", f"shop={CUSTOMER_KEY}"),
+            *("--route", route),
+            *("--step", f"{rate}:{duration_s}"),
+            *("--records", str(self.directory / "load.jsonl")),
+        )
+
+    async def log_faults(self, session, **faults):
+        """Set the log stand-in's faults; without any, it works again."""
+        url = f"http://127.0.0.1:{self.log_control_port}/standin/faults"
+        async with session.post(url, json=faults) as resp:
+            assert resp.status == 200, await resp.text()
+
+    def log_lines(self, name):
+        """Return the log lines that a process has written."""
+        return (self.directory / f"{name}.log").read_text().splitlines()
+
+    def stop(self):
+        """End every process that was started, by its id."""
+        for process in self.processes:
+            if process.poll() is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGCONT)
+                    process.kill()
+        for process in self.processes:
+            process.wait()
+
+    def _start(self, name, program, *args):
+        with open(self.directory / f"{name}.log", "ab") as out:
             process = subprocess.Popen(
                 [sys.executable, "-m", f"dandelionarch.{program}.main", *args],
+                env=_environment(),
                 stdout=out,
                 stderr=out,
             )
-        self._processes.append(process)
+        self.processes.append(process)
         return process
 
-    def run(self, program, *args):
-        """Run a program to its end; return its output."""
-        done = subprocess.run(
-            [sys.executable, "-m", f"dandelionarch.{program}.main", *args],
-            capture_output=True,
-            text=True,
-            check=False,
-        )
-        if done.returncode:
-            raise MeasureError(f"{program}: {done.stdout}{done.stderr}")
-        return done.stdout
-
-    def write(self, name, text):
-        """Write a file into the directory and return its path."""
-        path = self.directory / name
-        path.write_text(text, encoding="utf-8")
-        return str(path)
-
-
-def wait_for(check, what):
-    """Wait until `check()` returns True; connection errors count as False."""
-    limit = time.monotonic() + START_TIMEOUT_S
-    while time.monotonic() < limit:
-        with contextlib.suppress(OSError, KeyError):
-            if check():
-                return
-        time.sleep(0.1)
-    raise MeasureError(f"waited {START_TIMEOUT_S} s in vain: {what}")
-
-
-def get_json(url):
-    """Return the JSON at a URL."""
-    with urllib.request.urlopen(url, timeout=5) as resp:
-        return json.load(resp)
+    async def until(self, check, what):
+        """Wait until the coroutine function `check` returns something true."""
+        limit = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < limit:
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                if result := await check():
+                    return result
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"waited {START_TIMEOUT_S} s in vain: {what}")
+
+    async def status(self, session, vm):
+        """Return the status of one daemon."""
+        url = f"http://127.0.0.1:{self.daemons[vm].admin}/status"
+        async with session.get(url) as resp:
+            return await resp.json()
+
+    async def ready(self, session, endpoints, revision=1):
+        """Wait until every daemon knows the endpoints and the revision."""
+
+        async def check():
+            for vm in self.daemons:
+                status = await self.status(session, vm)
+                if status["revision"] < revision:
+                    return False
+                if not set(endpoints) <= set(status["endpoints"]):
+                    return False
+            return True
+
+        await self.until(check, "daemons know endpoints and configuration")
+
+
+def _environment():
+    root = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
+    return {**os.environ, "PYTHONPATH": root}
--- a/dandelionarch/measure/speed.py
+++ b/dandelionarch/measure/speed.py
@@ -6,7 +6,7 @@
 import time
 from dataclasses import dataclass
 
-from dandelionarch.measure import processes as procs
+from dandelionarch.measure import programs as procs
 
 NAME = "speed"
 HELP = "latency added by the two hops, highest rate, memory and processor time"
--- a/dandelionarch/standin/main.py
+++ b/dandelionarch/standin/main.py
@@ -39,8 +39,9 @@
         standin.app, access_log=None, shutdown_timeout=30, handler_cancellation=True
     )
     await runner.setup()
-    await web.TCPSite(runner, host, port).start()
-    await standin.started()
+    site = web.TCPSite(runner, host, port)
+    await site.start()
+    await standin.started(runner, site)
     await stop.wait()
     await standin.stopping()
     await runner.cleanup()
--- a/dandelionarch/standin/worker.py
+++ b/dandelionarch/standin/worker.py
@@ -71,7 +71,7 @@
         )
         parser.add_argument("--seed", type=int, default=1)
 
-    async def started(self):
+    async def started(self, runner, site):
         """Announce the endpoint to its daemon from now on."""
         self._announcer = asyncio.create_task(self._announce_forever())
 
--- a/tests/support/path.py
+++ b/tests/support/path.py
@@ -14,6 +14,7 @@
 from dandelionarch.daemon.app import Daemon
 from dandelionarch.daemon.settings import Settings
 from dandelionarch.standin.log import LogStandin
+from dandelionarch.standin.main import build_parser
 from dandelionarch.standin.worker import WorkerStandin
 from tests.support.fleet import (
     ALLOWANCES,
@@ -78,7 +79,8 @@
         self._log_port = free_ports(1)[0]
 
     async def __aenter__(self):
-        await self.serve(LogStandin(None).app, self._log_port)
+        args = build_parser().parse_args(["log", "--port", str(self._log_port)])
+        await self.serve(LogStandin(args).app, self._log_port)
         return self
 
     async def __aexit__(self, *exc):
@@ -114,8 +116,9 @@
         daemon = Daemon(Settings(daemon=section, limits=limits))
         await daemon.start()
         if not self.daemons:
-            pub = Publication("1", 0, "test", PLANS, ALLOWANCES + MORE_ROUTES)
-            await daemon.client.append(CONFIG_STREAM, pub.to_bytes())
+            lists = (PLANS, ALLOWANCES + MORE_ROUTES)
+            pub = Publication(0, "test", lists)
+            await daemon.streams.append(CONFIG_STREAM, pub.to_bytes())
         self.daemons[vm] = daemon
         for one in self.daemons.values():
             for other in self.daemons.values():
