--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -96,6 +96,15 @@
             assert resp.status == 200
         assert daemon.http.in_flight == 0
 
+    @fleet_test
+    async def test_service_without_endpoints(self, fleet, session):
+        """Guards the immediate refusal of a service that nobody serves."""
+        await fleet.daemon("vm-a")
+        async with session.get(fleet.url("vm-a")) as resp:
+            assert (resp.status, resp.reason) == (503, "Service Unavailable")
+            assert resp.headers["Dandelion-Outcome"] == "not-run"
+            assert (await resp.json())["title"] == "no_endpoint"
+
     @fleet_test
     async def test_headers_without_end(self, fleet, session):
         """Guards against a connection that is held open byte by byte."""
@@ -161,6 +170,12 @@
                 await exchange(port, data)
             assert event.call_args.args[1] == "link_refused"
             assert event.call_args.kwargs["error"] == error
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        with patch.object(tcplink, "event") as event:
+            writer.write(pack_hello(nonce) + identity[:-1])
+            writer.close()
+            await until(lambda: event.called, "cut frame is noticed")
+        assert event.call_args.kwargs["error"] == "FrameTruncatedError"
         async with session.get(fleet.url("vm-a")) as resp:
             assert resp.status == 200
 
--- a/tests/test_path_silence.py
+++ b/tests/test_path_silence.py
@@ -3,8 +3,10 @@
 import asyncio
 from unittest.mock import patch
 
+import aiohttp
+
 from dandelionarch.daemon.link import PeerNetwork
-from tests.support.path import fleet_test, two_daemons, until
+from tests.support.path import AUTH, LoopFleet, fleet_test, two_daemons, until
 from tests.support.relay import Relay
 
 
@@ -25,28 +27,36 @@
 class TestSilentLinks:
     """A dead link is found, closed and replaced; its endpoint stays in use."""
 
-    @fleet_test
-    async def test_silence_in_either_direction(self, fleet, session):
+    def test_silence_in_either_direction(self):
         """Guards against requests that wait for a dead link until their deadline."""
-        relay = await relayed(fleet)
-        worker = await fleet.worker("w1", "vm-b")
-        for forward, back in ((False, True), (True, False), (False, False)):
-            async with session.get(fleet.url("vm-a")) as resp:
-                assert resp.status == 200
-            before = relay.accepted
-            relay.forward, relay.back = forward, back
-            get = asyncio.create_task(session.get(fleet.url("vm-a")))
-            post = asyncio.create_task(session.post(fleet.url("vm-a")))
-            await asyncio.sleep(0.3)
-            relay.forward = relay.back = True
-            assert (await get).status == 200
-            resp = await post
-            assert resp.status == 502
-            assert (await resp.json())["title"] == "link_lost"
-            assert relay.accepted == before + 1
-        posts = [run for run in worker.runs if run["method"] == "POST"]
-        assert len(posts) <= 3
-        await relay.stop()
+        cases = ((False, True), (True, False), (False, False))
+
+        async def main():
+            # Each case waits for the silence to be noticed, so they run together.
+            await asyncio.gather(*(self._silence(*case) for case in cases))
+
+        asyncio.run(main())
+
+    async def _silence(self, forward, back):
+        async with LoopFleet() as fleet:
+            async with aiohttp.ClientSession(headers=AUTH) as session:
+                relay = await relayed(fleet)
+                worker = await fleet.worker("w1", "vm-b")
+                async with session.get(fleet.url("vm-a")) as resp:
+                    assert resp.status == 200
+                relay.forward, relay.back = forward, back
+                get = asyncio.create_task(session.get(fleet.url("vm-a")))
+                post = asyncio.create_task(session.post(fleet.url("vm-a")))
+                await asyncio.sleep(0.3)
+                relay.forward = relay.back = True
+                assert (await get).status == 200
+                resp = await post
+                assert resp.status == 502
+                assert (await resp.json())["title"] == "link_lost"
+                assert relay.accepted == 2
+                posts = [run for run in worker.runs if run["method"] == "POST"]
+                assert len(posts) <= 1
+                await relay.stop()
 
     @fleet_test
     async def test_long_work_is_no_silence(self, fleet, session):
