Test reservations in the retry budget

The property covers reservations and their return. A reservation that was given back may not be subtracted again when its second leaves the window; the test fails when it is.

--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -11,9 +11,8 @@
 from dandelionarch.core.retries import FLOOR, RETRY_SHARE, RetryBudget, ReturnSchedule
 from dandelionarch.core.selection import Decision
 
-EVENTS = st.lists(
-    st.tuples(st.floats(0, 2.0), st.booleans(), st.booleans()), max_size=300
-)
+KINDS = st.sampled_from(["first", "retry", "reserve", "give back"])
+EVENTS = st.lists(st.tuples(st.floats(0, 2.0), KINDS, st.booleans()), max_size=300)
 
 
 class TestRetryBudget:
@@ -23,19 +22,37 @@
     @given(EVENTS)
     def test_never_exceeded(self, events):
         """Guards against a storm of retries; load refusals are proven or not."""
-        budget, now, first, further = RetryBudget(), 0.0, [], []
-        for gap, is_first, proven in events:
+        budget, now, first, further, reserved = RetryBudget(), 0.0, [], [], []
+        for gap, kind, proven in events:
             now += gap * gap * 0.2
-            if is_first:
+            give_back = None
+            if kind == "first":
                 budget.first(now)
                 first.append(now)
-            elif budget.may_retry(now, Reason.QUEUE_FULL, proven):
+            elif kind == "reserve":
+                give_back = budget.reserve(now)
+                reserved += [(now, give_back)] if give_back else []
+            elif kind == "give back" and reserved:
+                at, unused = reserved.pop()
+                unused()
+                further.remove(at)
+            if give_back or (
+                kind == "retry" and budget.may_retry(now, Reason.QUEUE_FULL, proven)
+            ):
                 further.append(now)
                 # Whole seconds are kept, so the window may be up to 1 s off.
                 firsts = sum(t > now - 11 for t in first)
                 recent = sum(t > now - 9 for t in further)
                 assert recent <= max(FLOOR, RETRY_SHARE * firsts)
 
+    def test_reservation_given_back_is_counted_once(self):
+        """Guards against a budget that grows by each unused reservation."""
+        budget = RetryBudget()
+        for _ in range(5):
+            budget.reserve(0.0)()
+        retries = [budget.may_retry(20.0, Reason.SHED, True) for _ in range(10)]
+        assert sum(retries) == FLOOR
+
     def test_drain_is_redirected_but_not_at_overload(self):
         """Guards redirects after a drain, and their bound at overload."""
         budget = RetryBudget()
