--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -15,7 +15,8 @@
 class RequestHead:
     """Start of a request; `data` is the first part of its body.
 
-    `budget_ms` is the time that remains, counted from receipt.
+    `budget_ms` is the time that remains, counted from receipt. Without `may_wait` the
+    agent may refuse the request as busy, as the ingress will try another endpoint.
     """
 
     attempt_id: int
@@ -32,6 +33,7 @@
     headers: tuple[Header, ...]
     data: bytes
     last: bool
+    may_wait: bool
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/daemon/gossip.py
+++ b/dandelionarch/daemon/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import random
 from collections import Counter
@@ -99,6 +100,7 @@
         self._offset_listeners = []
         self._incarnation_listeners = []
         self._offsets = dict
+        self._addresses = list
         directory.on_change(self._on_directory_change)
         directory.on_use(self._on_use)
         network.subscribe(Leaving, self._on_leaving)
@@ -116,6 +118,10 @@
         """Let probes carry the dict that `source()` returns."""
         self._offsets = source
 
+    def carry_addresses(self, source):
+        """Join by the gossip addresses that `source()` returns when seeds are gone."""
+        self._addresses = source
+
     async def start(self, host, port):
         """Open the UDP port."""
         loop = asyncio.get_running_loop()
@@ -125,6 +131,8 @@
         """Drive the membership until cancelled."""
         while True:
             self.membership.set_offsets(self._offsets())
+            if not len(self.membership.table.living):
+                self.membership.seeds.set_fallback(self._addresses())
             self._carry_out(self.membership.tick(self._now()))
             await asyncio.sleep(TICK_S)
 
@@ -170,10 +178,6 @@
         """Tell all members that this daemon takes no new work."""
         self._carry_out(self.membership.leave())
 
-    def set_fallback(self, addresses):
-        """Set the gossip addresses that the fleet stream announces."""
-        self.membership.seeds.set_fallback(addresses)
-
     async def ensure(self, service, timeout_s):
         """Wait until endpoint detail of a service is held; return False if it isn't.
 
@@ -309,8 +313,14 @@
         self._carry_out(self.membership.set_endpoints(map(endpoint_record, own)))
 
     def _on_leaving(self, link, msg):
+        if link.vm_id != msg.vm_id:
+            return
+        vm = self._directory.vms.get(msg.vm_id)
+        if vm is not None and vm.state is not VmState.DEAD:
+            # In force at once, also before the membership knows the sender.
+            self._directory.put_vm(dataclasses.replace(vm, state=VmState.LEAVING))
         known = self.membership.table.records.get(msg.vm_id)
-        if known is None or link.vm_id != msg.vm_id or known.state == table_of.DEAD:
+        if known is None or known.state == table_of.DEAD:
             return
         said = msgs.MemberVerdict(
             known.vm_id, known.incarnation, known.edition, VmState.LEAVING.value
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -81,6 +81,7 @@
             lambda reason, proven: self._retries.may_retry(loop.time(), reason, proven),
             self.retry_after_s,
             req.replayable,
+            lambda: self._reserve(req),
         )
         self._retries.first(loop.time())
         command = life.start(loop.time())
@@ -93,6 +94,12 @@
             raise CallerBodyError(command.outcome, life.caller_error)
         return command
 
+    def _reserve(self, req):
+        """Reserve a redirect for a request that goes to its agent in one message."""
+        if not _inline(req):
+            return None
+        return self._retries.reserve(asyncio.get_running_loop().time())
+
     def retry_after_s(self, least_s=0.0):
         """Return the `Retry-After` of a refusal given now, in seconds."""
         now = asyncio.get_running_loop().time()
@@ -132,12 +139,13 @@
         endpoint = command.endpoint
         self._log_decision(work, command)
         stream = None
-        command, ended = None, False
+        may_wait, command, ended = command.may_wait, None, False
         try:
             async with asyncio.timeout_at(life.deadline):
                 link = await self._network.link(endpoint.vm_id)
                 stream = self._open(endpoint, link)
-                self._send_request(stream, work, req, life.deadline - loop.time())
+                budget_s = life.deadline - loop.time()
+                self._send_request(stream, work, req, budget_s, may_wait)
                 life.sent()
                 command, ended = await self._await_answer(life, stream)
             return command
@@ -159,8 +167,8 @@
         link.begin()
         return stream
 
-    def _send_request(self, stream, work, req, budget_s):
-        inline = req.rest is None and len(req.body) <= CHUNK_BYTES
+    def _send_request(self, stream, work, req, budget_s, may_wait):
+        inline = _inline(req)
         stream.link.send(
             msgs.RequestHead(
                 stream.attempt_id,
@@ -177,6 +185,7 @@
                 req.headers,
                 req.body if inline else b"",
                 inline,
+                may_wait,
             )
         )
         if not inline:
@@ -256,7 +265,7 @@
             now = asyncio.get_running_loop().time()
             self._loads[load.endpoint_id] = (now, load, others)
             self.on_load(load)
-        if isinstance(msg, msgs.Refusal):
+        if isinstance(msg, msgs.Refusal) and msg.reason != Reason.BUSY.value:
             now = asyncio.get_running_loop().time()
             self._refusals.refused(stream.endpoint_id, now)
         elif isinstance(msg, msgs.ResponseHead):
@@ -300,6 +309,11 @@
             self.decisions.pop(next(iter(self.decisions)))
 
 
+def _inline(req):
+    """Return True if a request's body goes with its head."""
+    return req.rest is None and len(req.body) <= CHUNK_BYTES
+
+
 def _reason(msg):
     """Return the reason in a message, also if a newer daemon has sent it."""
     try:
--- a/dandelionarch/measure/virtual_fleet.py
+++ b/dandelionarch/measure/virtual_fleet.py
@@ -17,6 +17,7 @@
 from dandelionarch.core.membership import TICK_S, Membership
 from dandelionarch.core.messages import members as msgs
 from dandelionarch.core.timer import TimerService
+from dandelionarch.core.world import EndpointState
 from dandelionarch.wire.codec import Codec
 from dandelionarch.wire.datagram import DatagramCodec
 
@@ -64,6 +65,11 @@
         self.offsets = {}
         self.raised = []
 
+    def draining(self, endpoint_id, vm_id, service):
+        """Return True if fetched detail shows an endpoint as draining."""
+        endpoint = self.endpoints.get((vm_id, service), {}).get(endpoint_id)
+        return endpoint is not None and endpoint.state is EndpointState.DRAINING
+
 
 class VirtualFleet:
     """Daemons with ids `vm-0` and so on, of which each knows all at the start.
@@ -131,7 +137,7 @@
         self.daemons[vm_id] = daemon
         self.by_address[daemon.address] = daemon
         if workers:
-            self._carry_out(
+            self.carry_out(
                 daemon, daemon.membership.set_endpoints(self._endpoints(vm_id, workers))
             )
         daemon.membership.set_offsets(dict.fromkeys(STREAMS, 100_000))
@@ -202,10 +208,10 @@
     def leave(self, vm_id, stop_after_s=2.0):
         """Let a daemon leave, and end after a while."""
         daemon = self.daemons[vm_id]
-        self._carry_out(daemon, daemon.membership.leave())
+        self.carry_out(daemon, daemon.membership.leave())
 
         def stop():
-            self._carry_out(daemon, daemon.membership.left())
+            self.carry_out(daemon, daemon.membership.left())
             daemon.running = False
 
         self.timers.subscribe(stop_after_s, stop)
@@ -226,9 +232,10 @@
             started = time.process_time()
             commands = daemon.membership.tick(self.timers.now())
             self.traffic.cpu_s += time.process_time() - started
-            self._carry_out(daemon, commands)
+            self.carry_out(daemon, commands)
 
-    def _carry_out(self, daemon, commands):
+    def carry_out(self, daemon, commands):
+        """Carry out what a daemon's membership returned."""
         for command in commands:
             if isinstance(command, SendDatagram):
                 self._send(daemon, command.address, command.message)
@@ -282,4 +289,4 @@
         started = time.process_time()
         commands = daemon.membership.received(source, message, self.timers.now())
         self.traffic.cpu_s += time.process_time() - started
-        self._carry_out(daemon, commands)
+        self.carry_out(daemon, commands)
