Measure the membership, and believe a reported death after a suspicion

A reported death is believed at once if the member was suspected before, and starts a quiet suspicion of which the member is told otherwise.

A `Leaving` on a link counts for VMs that only the directory knows. A VM whose former process had a clock ahead announces itself with a higher incarnation in the fleet stream; the test fails without the rule.

--- a/dandelionarch/core/fleet.py
+++ b/dandelionarch/core/fleet.py
@@ -143,6 +143,14 @@
         state = self.services.get(service)
         return None if state is None else state.claims.get(endpoint_id)
 
+    def newest_incarnation(self, vm_id):
+        """Return the highest incarnation known of a VM, or 0."""
+        known = self.vms.get(vm_id)
+        if known is not None:
+            return known.announce.incarnation
+        gone = self._withdrawals.get(vm_id)
+        return 0 if gone is None else gone.incarnation
+
     def addresses(self):
         """Return (host, gossip port) of every announced VM."""
         return [(v.announce.host, v.announce.gossip_port) for v in self.vms.values()]
--- a/dandelionarch/core/members.py
+++ b/dandelionarch/core/members.py
@@ -179,6 +179,16 @@
         """Return the living member at a gossip address, or None."""
         return self.records.get(self._by_address.get(address))
 
+    def holds_dead(self, record):
+        """Return True if a member that `record` calls living is held dead."""
+        known = self.records.get(record.vm_id)
+        return (
+            known is not None
+            and known.state == DEAD
+            and record.state != DEAD
+            and precedence(known) > precedence(record)
+        )
+
     def in_bucket(self, bucket):
         """Return the records of the living members in a leaf of the tree."""
         return [self.records[vm_id] for vm_id in sorted(self._buckets[bucket])]
--- a/dandelionarch/core/membership.py
+++ b/dandelionarch/core/membership.py
@@ -254,11 +254,14 @@
             return
         if table_of.precedence(said) <= table_of.precedence(known):
             return
-        # Another's word that a member is dead only starts a suspicion of its own: two
-        # parts of the fleet that meet again hold each other's living members dead.
+        # A death that nobody suspected before is not passed on and starts a suspicion
+        # of its own: two parts of the fleet that meet again hold each other's living
+        # members dead. The member hears of it, so that it can refute it.
         same = (said.incarnation, said.edition) == (known.incarnation, known.edition)
-        if said.state == DEAD and same:
-            self._suspect(known, now)
+        if said.state == DEAD and same and known.state != SUSPECT:
+            self.suspects.setdefault(said.vm_id, now + SUSPICION_S)
+            notice = msgs.Members((), (table_of.verdict_of(record),))
+            self.send(table_of.address_of(known), notice)
             return
         if record.state != DEAD:
             self._replace_at_address(record, now)
@@ -348,21 +351,15 @@
             self.send(address, message)
 
     def _on_members(self, address, msg, now):
-        beaten = [r for r in msg.records if self._holds_dead(r)]
+        beaten = [r for r in msg.records if self.table.holds_dead(r)]
+        before = self.me
         self.learn(msg.records, msg.verdicts, now)
+        if self.me is not before:
+            self.send(address, msgs.Members((self.me,), ()))
         if beaten:
             verdicts = tuple(self._verdict(r.vm_id) for r in beaten)
             self.send(address, msgs.Members((), verdicts))
 
-    def _holds_dead(self, record):
-        known = self.table.records.get(record.vm_id)
-        return (
-            known is not None
-            and known.state == DEAD
-            and record.state != DEAD
-            and table_of.precedence(known) > table_of.precedence(record)
-        )
-
     def _on_treedigest(self, address, msg, now):
         for reply in self.exchange.on_digest(msg):
             self.send(address, reply)
--- a/dandelionarch/daemon/fleet.py
+++ b/dandelionarch/daemon/fleet.py
@@ -167,6 +167,11 @@
 
     def _announce(self, now):
         """Announce this VM if the stream says something else of it."""
+        newest = self.fold.newest_incarnation(self._vm.vm_id)
+        if newest > self._holder.incarnation:
+            # A former process had a clock ahead of this one's; what this process
+            # announces would be taken for the older.
+            self.use_incarnation(newest + 1)
         endpoints = self._own_endpoints()
         known = self.fold.vms.get(self._vm.vm_id)
         told = known and (known.announce.incarnation, known.announce.endpoints)
--- a/dandelionarch/daemon/gossip.py
+++ b/dandelionarch/daemon/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import logging
 import random
 from collections import Counter
@@ -312,8 +313,13 @@
         self._carry_out(self.membership.set_endpoints(map(endpoint_record, own)))
 
     def _on_leaving(self, link, msg):
+        """Stop choosing a VM that says so on its own link, before any datagram."""
+        vm = self._directory.vms.get(msg.vm_id)
+        if vm is None or link.vm_id != msg.vm_id or vm.state is VmState.DEAD:
+            return
+        self._directory.put_vm(dataclasses.replace(vm, state=VmState.LEAVING))
         known = self.membership.table.records.get(msg.vm_id)
-        if known is None or link.vm_id != msg.vm_id or known.state == table_of.DEAD:
+        if known is None or known.incarnation != vm.incarnation:
             return
         said = msgs.MemberVerdict(
             known.vm_id, known.incarnation, known.edition, VmState.LEAVING.value
--- a/dandelionarch/measure/membership.py
+++ b/dandelionarch/measure/membership.py
@@ -7,12 +7,15 @@
 
 from dandelionarch.core import fleet_records as records
 from dandelionarch.core import members as table_of
-from dandelionarch.core.details import endpoint_of
+from dandelionarch.core.details import detail_messages, endpoint_of
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.exchange import PlainExchange, TreeExchange
 from dandelionarch.core.fleet import FleetFold
+from dandelionarch.core.messages import members as msgs
 from dandelionarch.core.streams import Record
-from dandelionarch.measure.virtual_fleet import Traffic, VirtualFleet
+from dandelionarch.measure.virtual_fleet import KEY, Traffic, VirtualFleet
+from dandelionarch.wire.codec import Codec
+from dandelionarch.wire.datagram import DatagramCodec
 
 NAME = "membership"
 HELP = "bytes, processor time, memory, detection and leaving by fleet size"
@@ -29,22 +32,18 @@
 
 def churn(fleet, rng):
     """Restart daemons one by one at the target's rate, whatever the fleet's size."""
-    per_s = RESTARTS_PER_DAY / DAY_S
 
     def restart():
         vm_id = rng.choice(sorted(fleet.daemons))
-        if fleet.daemons[vm_id].running:
-            index = int(vm_id.removeprefix("vm-"))
-            fleet.leave(vm_id)
-            fleet.timers.subscribe(
-                2.0 + DOWN_S,
-                lambda: fleet.start(
-                    vm_id, index, WORKERS_PER_DAEMON, seeds=fleet.seeds
-                ),
-            )
-        fleet.timers.subscribe(rng.expovariate(per_s), restart)
+        index = int(vm_id.removeprefix("vm-"))
+        fleet.leave(vm_id)
+        fleet.timers.subscribe(
+            2.0 + DOWN_S,
+            lambda: fleet.start(vm_id, index, WORKERS_PER_DAEMON, seeds=fleet.seeds),
+        )
 
-    fleet.timers.subscribe(rng.expovariate(per_s), restart)
+    period_s = DAY_S / RESTARTS_PER_DAY
+    fleet.timers.subscribe_every(period_s, restart, first_delay_s=1.0)
 
 
 def use_services(fleet):
@@ -110,14 +109,23 @@
     """Print the memory of one daemon's tables at the largest size."""
     count = args.sizes[-1]
     donor = VirtualFleet(count, workers=WORKERS_PER_DAEMON, joined=False)
-    members = [d.membership.me for d in donor.daemons.values()]
-    endpoints = [e for d in donor.daemons.values() for e in d.membership._endpoints]
+    codec = DatagramCodec(Codec(), KEY)
+    members, endpoints = [], []
+    for daemon in donor.daemons.values():
+        me, own = daemon.membership.me, daemon.membership._endpoints
+        members.append(codec.pack(msgs.Members((me,), ())))
+        services = [s.service for s in me.services]
+        endpoints += map(codec.pack, detail_messages(me, own, services))
+    workers = sum(len(d.membership._endpoints) for d in donor.daemons.values())
     print("| table | MB |")
     print("|---|---|")
     total = 0
     for name, build in (
-        ("members", lambda: _member_table(members)),
-        ("directory with all endpoints", lambda: _directory(members, endpoints)),
+        ("members", lambda: _member_table(codec, members)),
+        (
+            "directory with all endpoints",
+            lambda: _directory(codec, members, endpoints),
+        ),
         ("fleet stream's fold", lambda: _fold(donor)),
     ):
         tracemalloc.start()
@@ -127,22 +135,24 @@
         total += size
         del kept
         print(f"| {name} | {size / 1e6:.1f} |")
-    print(f"| sum ({count} daemons, {len(endpoints)} workers) | {total / 1e6:.1f} |")
+    print(f"| sum ({count} daemons, {workers} workers) | {total / 1e6:.1f} |")
 
 
-def _member_table(members):
+def _member_table(codec, members):
+    """Return a table of records that were decoded, as in a daemon."""
     table = table_of.MemberTable("vm-0")
-    for record in members:
-        table.put(dataclasses.replace(record, vm_id=str(record.vm_id)))
+    for data in members:
+        table.put(codec.unpack(data).records[0])
     return table
 
 
-def _directory(members, endpoints):
+def _directory(codec, members, endpoints):
     directory = Directory()
-    for record in members:
-        directory.put_vm(table_of.vm_of(record))
-    for endpoint in endpoints:
-        directory.put_endpoint(endpoint_of(endpoint))
+    for data in members:
+        directory.put_vm(table_of.vm_of(codec.unpack(data).records[0]))
+    for data in endpoints:
+        for endpoint in codec.unpack(data).endpoints:
+            directory.put_endpoint(endpoint_of(endpoint))
     return directory
 
 
@@ -233,6 +243,10 @@
 def _drain_time(fleet, count):
     daemon = fleet.daemons["vm-2"]
     first, *rest = daemon.membership._endpoints
+    for other in fleet.daemons.values():
+        commands = other.membership.use(first.service, fleet.timers.now())
+        fleet.carry_out(other, commands)
+    fleet.run(3)
     for other in fleet.daemons.values():
         other.changes.clear()
     drained = dataclasses.replace(first, state="draining")
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -225,6 +225,19 @@
 
         run(scenario)
 
+    def test_former_process_with_a_faster_clock_does_not_silence_this_one(self):
+        """Guards a replaced VM whose incarnation is lower than its predecessor's."""
+
+        async def scenario(log, one, two):
+            former = records.Announce("vm-0", 99, 1, 0, "h", 3, ())
+            log.append(records.to_bytes(former))
+            await until(
+                lambda: two.service.fold.vms["vm-0"].announce.incarnation == 100
+            )
+            assert await one.eject("a")
+
+        run(scenario)
+
     def test_leaving_withdraws_and_announces_no_more(self):
         """Guards a planned stop against coming back by a late announcement."""
 
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -1,7 +1,7 @@
 """The gossip task on loopback, and the watch over local endpoints."""
 
 import asyncio
-import logging
+from unittest.mock import patch
 
 from dandelionarch.core.announcements import CHECK_PERIOD_S, SILENT_S, Announcements
 from dandelionarch.core.directory import Directory
@@ -117,7 +117,7 @@
 
         asyncio.run(run())
 
-    def test_bad_datagrams_are_counted_and_logged_at_a_bounded_rate(self, caplog):
+    def test_bad_datagrams_are_counted_and_logged_at_a_bounded_rate(self):
         """Guards the log and the task against a stranger's datagrams."""
         good = DatagramCodec(Codec(), KEY)
         stranger = DatagramCodec(Codec(), b"another key 1234")
@@ -137,11 +137,10 @@
                     daemon.gossip.datagram_received(data, ("127.0.0.1", 1))
             return daemon.gossip.bad_datagrams
 
-        logging.getLogger("dandelionarch").propagate = True
-        with caplog.at_level(logging.WARNING):
+        with patch("dandelionarch.daemon.gossip.event") as logged:
             counted = asyncio.run(run())
         assert counted.total() == 100
-        assert [r.message for r in caplog.records] == ["bad_datagram"]
+        assert [call.args[1] for call in logged.mock_calls] == ["bad_datagram"]
 
     def test_own_endpoints_survive_a_raised_incarnation(self):
         """Guards a restart with a slow clock against dropping its own workers."""
