--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -19,6 +19,7 @@
 from dandelionarch.daemon.agent import Agent
 from dandelionarch.daemon.fleet import FleetService
 from dandelionarch.daemon.gossip import Gossip
+from dandelionarch.daemon.health import HealthWatch
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp, IngressProtocol
 from dandelionarch.daemon.limits import Limits
@@ -95,7 +96,9 @@
         self.fleet = FleetService(
             self.streams, self.directory, self.vm, self._accepted_lists
         )
-        self.agent = Agent(self.network, self.directory, self.vm_id)
+        self.health = HealthWatch(self.network, self.directory, self.vm_id, self.fleet)
+        self.fleet.on_revoke(self.health.revoked)
+        self.agent = Agent(self.network, self.directory, self.vm_id, self.health)
         self.ingress = Ingress(self.network, self.directory, self.agent)
         self.order_homes = OrderHomes(
             self.client,
@@ -183,6 +186,7 @@
             self.gossip.run_seeds(),
             self._watch_endpoints(),
             self.fleet.run(),
+            self.health.run(),
             self.order_homes.run(),
             self.limits.run(),
         ):
@@ -261,6 +265,7 @@
             endpoint.state is not EndpointState.GONE
         ):
             endpoint = dataclasses.replace(endpoint, state=EndpointState.DRAINING)
+        endpoint = self.health.marked(endpoint)
         self.announcements.heard(endpoint, self.network.now())
         if self.directory.put_endpoint(endpoint):
             event(
--- a/dandelionarch/measure/chaos.py
+++ b/dandelionarch/measure/chaos.py
@@ -117,8 +117,10 @@
 
     def _start_load(self):
         """Start `dandelion-load` against the reads of one service."""
-        url = f"http://127.0.0.1:{self.fleet.daemons[self.vms[0]].ingress}"
-        return self.fleet.start_load(url, LOAD_PER_S, self._duration_s)
+        targets = [daemon.ingress for daemon in self.fleet.daemons.values()]
+        return self.fleet.start_load(
+            targets, "GET /calendar/{n}", LOAD_PER_S, self._duration_s
+        )
 
     async def _poll_revisions(self, session):
         while True:
@@ -162,21 +164,16 @@
 def build_parser():
     """Return the parser of the run's options."""
     parser = argparse.ArgumentParser(prog="chaos", description=HELP)
-    add_arguments(parser)
-    return parser
-
-
-def add_arguments(parser):
-    """Add the run's options."""
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=50.0)
     parser.add_argument("--faults", type=int, default=16)
     parser.add_argument("--keep", help="directory for settings and logs")
+    return parser
 
 
-def main(args=None):
-    """Run once; return 1 if a promise was violated."""
-    args = args or build_parser().parse_args()
+def main(argv=None):
+    """Run once; return 1 if a promise was violated, 2 if it could not be done."""
+    args = build_parser().parse_args(argv)
     with contextlib.ExitStack() as stack:
         directory = args.keep or stack.enter_context(tempfile.TemporaryDirectory())
         Path(directory).mkdir(parents=True, exist_ok=True)
--- a/dandelionarch/measure/processes.py
+++ b/dandelionarch/measure/processes.py
@@ -215,9 +215,18 @@
         self.processes.append(process)
         return process
 
-    def start_load(self, url, rate, duration_s):
-        """Start a background load of reads through one daemon."""
-        return self._start("load", "load", url, str(rate), str(duration_s))
+    def start_load(self, ports, route, rate, duration_s):
+        """Start `dandelion-load` on one route through several daemons."""
+        targets = [f"--target=http://127.0.0.1:{port}" for port in ports]
+        return self._start(
+            "load",
+            "load",
+            *targets,
+            *("--customer", f"shop={CUSTOMER_KEY}"),
+            *("--route", route),
+            *("--step", f"{rate}:{duration_s}"),
+            *("--records", str(self.directory / "load.jsonl")),
+        )
 
     async def log_faults(self, session, **faults):
         """Set the log stand-in's faults; without any, it works again."""
--- a/dandelionarch/wire/codec.py
+++ b/dandelionarch/wire/codec.py
@@ -12,7 +12,14 @@
 
 import capnp
 
-from dandelionarch.core.messages import limits, members, orders, request, streams
+from dandelionarch.core.messages import (
+    evidence,
+    limits,
+    members,
+    orders,
+    request,
+    streams,
+)
 from dandelionarch.errors import MessageDecodeError
 
 capnp.remove_import_hook()
@@ -28,6 +35,7 @@
     REQUEST = 0
     MEMBERS = 1
     STREAMS = 2
+    EVIDENCE = 4
     LIMITS = 5
     ORDERS = 7
 
@@ -36,6 +44,7 @@
     Channel.REQUEST: ("request.capnp", request.MESSAGES),
     Channel.MEMBERS: ("members.capnp", members.MESSAGES),
     Channel.STREAMS: ("streams.capnp", streams.MESSAGES),
+    Channel.EVIDENCE: ("evidence.capnp", evidence.MESSAGES),
     Channel.LIMITS: ("limits.capnp", limits.MESSAGES),
     Channel.ORDERS: ("orders.capnp", orders.MESSAGES),
 }
@@ -64,18 +73,22 @@
     return tuple(plan)
 
 
-def _to_dict(msg):
-    out = {}
+def _fill(builder, msg):
+    """Copy a message into a builder.
+
+    Setting the fields one by one takes a seventh of the time that pycapnp needs to
+    take them from a dict.
+    """
     for attr, name, nested, many in _field_plan(type(msg)):
         value = getattr(msg, attr)
         if nested and many:
-            value = [_to_dict(item) for item in value]
+            items = builder.init(name, len(value))
+            for i, item in enumerate(value):
+                _fill(items[i], item)
         elif nested:
-            value = _to_dict(value)
-        elif many:
-            value = list(value)
-        out[name] = value
-    return out
+            _fill(builder.init(name), value)
+        else:
+            setattr(builder, name, list(value) if many else value)
 
 
 def _from_reader(cls, reader):
@@ -118,7 +131,9 @@
 
     def _envelope(self, msg):
         channel, name = self._by_class[type(msg)]
-        return channel, self._envelopes[channel].new_message(**{name: _to_dict(msg)})
+        envelope = self._envelopes[channel].new_message()
+        _fill(envelope.init(name), msg)
+        return channel, envelope
 
     def decode(self, channel, data):
         """Return the message of a payload.
