--- a/dandelionarch/core/parts.py
+++ b/dandelionarch/core/parts.py
@@ -52,7 +52,7 @@
     return hashlib.sha256(data).digest()[:8]
 
 
-def split(record_id, data, kind=EntryKind.RECORD):
+def split(record_id, data, kind=EntryKind.RECORD, part_bytes=PART_BYTES):
     """Return the entries of a payload, each at most `MAX_ENTRY_BYTES`.
 
     Raises
@@ -63,14 +63,14 @@
     name = record_id.encode()
     if not 0 < len(name) <= MAX_ID_BYTES:
         raise EntryError(f"record id must have 1 to {MAX_ID_BYTES} bytes")
-    parts = max(1, -(-len(data) // PART_BYTES))
+    parts = max(1, -(-len(data) // part_bytes))
     if parts > MAX_PARTS:
         raise EntryError(f"{len(data)} bytes need more than {MAX_PARTS} parts")
     digest = digest_of(data)
     return [
         HEAD.pack(FORMAT_VERSION, kind, number, parts, digest, len(name))
         + name
-        + data[number * PART_BYTES : (number + 1) * PART_BYTES]
+        + data[number * part_bytes : (number + 1) * part_bytes]
         for number in range(parts)
     ]
 
--- a/dandelionarch/core/relay.py
+++ b/dandelionarch/core/relay.py
@@ -82,9 +82,11 @@
         self.reading = False
         self.retry_at = 0.0
         self.failing = False
+        self.at_end = False
         self.caught_up = False
         self.ready = False
         self.log_now = (0.0, 0.0)
+        self.first_log_now = None
         self.ahead = None
         self.pull_until = 0.0
 
@@ -154,8 +156,14 @@
         f.reading = f.failing = False
         f.log_now = (log_now, now)
         commands = self._feed(stream, f, entries, now, forward=self.ready)
-        fresh = not entries or entries[-1].time_s >= log_now - LOG_CLOCK_STEP_S
-        if fresh and not f.copy.searching and f.copy.next == f.copy.read_from:
+        f.at_end = not entries
+        if f.first_log_now is None:
+            f.first_log_now = log_now
+        # An entry from after the first reply proves that all earlier ones are folded,
+        # also on a stream that grows faster than it is read.
+        after = f.first_log_now + LOG_CLOCK_STEP_S
+        fresh = not entries or entries[-1].time_s >= after
+        if fresh and not f.copy.searching:
             f.caught_up = f.ready = True
             self._check_ready()
         return commands + self._read(stream, f, now)
@@ -205,7 +213,7 @@
         if f.reading or now < f.retry_at or not self._must_read(f, now):
             return []
         f.reading = True
-        wait_ms = READ_WAIT_MS if f.caught_up or f.ready else 0
+        wait_ms = READ_WAIT_MS if f.caught_up or f.at_end else 0
         return [ReadLog(stream, f.copy.read_from, wait_ms)]
 
     def _must_read(self, f, now):
--- a/dandelionarch/ctl/configlog.py
+++ b/dandelionarch/ctl/configlog.py
@@ -124,8 +124,9 @@
                 pass
             except (PlatformUnavailableError, TimeoutError):
                 effect = Effect.UNKNOWN
-                with contextlib.suppress(PlatformError):
-                    await self._read(0)
+                with contextlib.suppress(PlatformError, TimeoutError):
+                    async with asyncio.timeout(max(0.1, limit - time.monotonic())):
+                        await self._read(0)
                 if record_id in self.state.decisions:
                     return Effect.DECIDED
             if time.monotonic() + RETRY_S >= limit:
