--- a/dandelionarch/core/copy.py
+++ b/dandelionarch/core/copy.py
@@ -8,7 +8,7 @@
 
 from dandelionarch.core.parts import Assembler, EntryKind, parse_part
 from dandelionarch.core.streams import Record
-from dandelionarch.errors import EntryError, SnapshotError
+from dandelionarch.errors import DandelionError, EntryError, SnapshotError
 from dandelionarch.ids import Offset, RecordId
 
 # At 20 appends/s the ids reach back about 7 minutes, longer than any repeat.
@@ -19,6 +19,7 @@
 MAX_SNAPSHOT_BYTES = 256 << 20
 SNAPSHOT_HEAD = struct.Struct("!I")
 COMPRESSION_LEVEL = 1
+FOLD_FAULTS = (DandelionError, LookupError, TypeError, ValueError)
 
 
 class StreamCopy:
@@ -64,7 +65,8 @@
         Returns
         -------
         list of (Record, result)
-            One pair per record that took effect.
+            One pair per record that took effect; the result is an exception if the
+            fold raised one of `FOLD_FAULTS`.
         """
         applied = []
         for entry in entries:
@@ -168,7 +170,13 @@
             del self._seen[next(iter(self._seen))]
         record_id = RecordId(part.record_id)
         record = Record(Offset(entry.offset), entry.time_s, record_id, data)
-        yield record, self.fold.apply(record)
+        try:
+            result = self.fold.apply(record)
+        except FOLD_FAULTS as exc:
+            # One bad record must not stop the stream on every daemon. The fault
+            # depends on the record and the state only, so all readers meet it.
+            result = exc
+        yield record, result
 
     def _search(self, entry):
         """Restore from the first whole checkpoint whose rest the log still holds."""
--- a/dandelionarch/core/streams.py
+++ b/dandelionarch/core/streams.py
@@ -26,7 +26,11 @@
 
     @abstractmethod
     def apply(self, record):
-        """Fold one record and return what it changed, or None."""
+        """Fold one record and return what it changed, or None.
+
+        The result must depend on the record and the state only. A record that can't
+        be read must change nothing.
+        """
 
     @abstractmethod
     def snapshot(self):
--- a/dandelionarch/daemon/logclient.py
+++ b/dandelionarch/daemon/logclient.py
@@ -76,10 +76,13 @@
         params = {"from": start, "limit": limit, "wait_ms": wait_ms}
         timeout_s = READ_TIMEOUT_S + wait_ms / 1000
         body = await self._call("GET", stream, timeout_s, params=params, data=None)
-        return [
-            LogEntry(Offset(r["offset"]), r["time"], base64.b64decode(r["data"]))
-            for r in body["records"]
-        ]
+        try:
+            return [
+                LogEntry(Offset(r["offset"]), r["time"], base64.b64decode(r["data"]))
+                for r in body["records"]
+            ]
+        except (KeyError, TypeError, ValueError) as exc:
+            raise PlatformUnavailableError(f"log service: bad reply: {exc}") from exc
 
     async def _call(self, method, stream, timeout_s, **kwargs):
         url = f"{self._url}/streams/{stream}/records"
@@ -99,6 +102,8 @@
                 return await resp.json()
         except aiohttp.ClientConnectorError as exc:
             raise PlatformUnreachableError(f"log service: {exc}") from exc
+        except ValueError as exc:
+            raise PlatformUnavailableError(f"log service: bad reply: {exc}") from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
             detail = str(exc) or type(exc).__name__
             raise PlatformUnavailableError(f"log service: {detail}") from exc
--- a/dandelionarch/daemon/streams.py
+++ b/dandelionarch/daemon/streams.py
@@ -178,17 +178,29 @@
         if self.ready and not self._was_ready:
             self._was_ready = True
             event(log, "streams_ready", **self.offsets())
-            for callback in self._ready:
-                callback()
+            self._call(self._ready)
 
     def _report(self, command):
+        stream = command.stream
         if isinstance(command, Restored):
-            event(log, "state_restored", stream=command.stream)
-            for callback in self._restored.get(command.stream, ()):
-                callback()
+            event(log, "state_restored", stream=stream)
+            self._call(self._restored.get(stream, ()))
         elif isinstance(command, Applied):
-            for callback in self._applied.get(command.stream, ()):
-                callback(command.record, command.result)
+            if isinstance(command.result, Exception):
+                detail = f"{type(command.result).__name__}: {command.result}"
+                record = command.record.record_id
+                event(log, "fold_failed", logging.ERROR, record=record, detail=detail)
+            else:
+                applied = self._applied.get(stream, ())
+                self._call(applied, command.record, command.result)
+
+    def _call(self, callbacks, *args):
+        """Call subscribers; one that fails must not stop the streams."""
+        for callback in callbacks:
+            try:
+                callback(*args)
+            except Exception:
+                log.exception("subscriber_failed")
 
     async def _send(self, command):
         try:
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -6,7 +6,8 @@
 import aiohttp
 import pytest
 
-from tests.support.fleet import Fleet
+from dandelionarch.standin.worker import ANNOUNCE_PERIOD_S
+from tests.support.fleet import CUSTOMER_KEY, Fleet
 
 
 @pytest.fixture
@@ -126,3 +127,35 @@
         )
         assert done.returncode == 0
         await fleet.ready(session, [], revision=2)
+
+
+class TestDrain:
+    """Operators drain a worker or a daemon through the admin port."""
+
+    def test_drained_worker_and_daemon_take_no_new_work(self, fleet):
+        """Guards against a drain that the worker's next announcement undoes."""
+        run(fleet, self._drain)
+
+    async def _drain(self, fleet, session):
+        daemon = fleet.start_daemon("vm-a")
+        await fleet.until(lambda: fleet.status(session, "vm-a"), "daemon serves")
+        assert fleet.publish().returncode == 0
+        for name in ("orders-1", "orders-2"):
+            fleet.start_worker(name, "orders", "vm-a")
+        await fleet.ready(session, ["orders-1", "orders-2"])
+        admin = ("--daemon", f"127.0.0.1:{daemon.admin}")
+        drained = fleet.ctl("drain", *admin, "--endpoint", "orders-1")
+        assert drained.returncode == 0, drained.stderr
+        assert fleet.ctl("drain", *admin, "--endpoint", "none").returncode == 1
+        # Longer than the period of announcements.
+        await asyncio.sleep(ANNOUNCE_PERIOD_S * 1.2)
+        endpoints = (await fleet.status(session, "vm-a"))["endpoints"]
+        states = {name: e["state"] for name, e in endpoints.items()}
+        assert states == {"orders-1": "draining", "orders-2": "ready"}
+        url = f"http://127.0.0.1:{daemon.ingress}/orders/7"
+        auth = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
+        for _ in range(6):
+            async with session.get(url, headers=auth) as resp:
+                assert (await resp.json())["endpoint"] == "orders-2"
+        assert fleet.ctl("drain", *admin).returncode == 0
+        assert await asyncio.to_thread(daemon.process.wait, 20) == 0
--- a/tests/test_stream_copy.py
+++ b/tests/test_stream_copy.py
@@ -5,10 +5,12 @@
 import pytest
 
 from dandelionarch.core.copy import StreamCopy
+from dandelionarch.core.messages import streams as msgs
 from dandelionarch.core.messages.streams import LogEntry
 from dandelionarch.core.parts import MAX_ENTRY_BYTES, EntryKind, split
 from dandelionarch.core.streams import Fold
 from dandelionarch.errors import EntryError
+from dandelionarch.wire.codec import Codec
 
 
 class Collected(Fold):
@@ -87,6 +89,26 @@
             split("a" * 200, b"")
 
 
+class TestMessages:
+    """Messages between daemons survive the wire."""
+
+    @pytest.mark.parametrize(
+        "msg",
+        [
+            msgs.StreamRecords("config", (LogEntry(1, 2.5, LARGE[:9]),) * 2, True),
+            msgs.StreamPull("config", 7, 9, 1),
+            msgs.StreamState("config", 9, 1, 3, LARGE[: 256 << 10]),
+            msgs.OffsetsQuery("vm-a"),
+            msgs.StreamBeat(True, False, (msgs.StreamOffset("config", 1 << 40),)),
+        ],
+        ids=lambda msg: type(msg).__name__,
+    )
+    def test_round_trip(self, msg):
+        """Guards against a schema that does not fit its message class."""
+        codec = Codec()
+        assert codec.decode(*codec.encode(msg)) == msg
+
+
 class TestStreamCopy:
     """Copies agree wherever they start."""
 
@@ -120,6 +142,14 @@
         assert copy.searching
         assert (copy.next, copy.fold.found) == (0, [])
 
+    def test_faulty_record_does_not_stop_the_stream(self):
+        """Guards against one record that stops every daemon."""
+        copy = StreamCopy(Collected())
+        copy.fold.apply = lambda record: {}[record.record_id]
+        log = LogCopy().add(*split("a", b""), *split("b", b""))
+        results = [type(result) for _, result in copy.feed(log.entries)]
+        assert (results, copy.next) == ([KeyError, KeyError], 2)
+
     def test_older_snapshot_is_not_restored(self):
         """Guards against an offset or a revision that goes back."""
         log = LogCopy().add(*split("a", b""))
