--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -117,6 +117,13 @@
 
     def start_daemon(self, vm, data_centre="dc-1", seeds=(), extra=""):
         """Start one daemon; `seeds` are names of daemons started before."""
+        path = self.write_settings(vm, data_centre, seeds, extra)
+        daemon = self.daemons[vm]
+        daemon.process = self._start(vm, "daemon", str(path))
+        return daemon
+
+    def write_settings(self, vm, data_centre, seeds=(), extra=""):
+        """Write one daemon's settings and return the path."""
         daemon = self.daemons.get(vm) or DaemonProcess(vm, data_centre)
         self.daemons[vm] = daemon
         path = self.directory / f"{vm}.ini"
@@ -134,8 +141,7 @@
             )
             + extra
         )
-        daemon.process = self._start(vm, "daemon", str(path))
-        return daemon
+        return path
 
     def start_worker(self, endpoint, service, vm, *options):
         """Start a worker beside a daemon; return its port."""
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -6,8 +6,12 @@
 import aiohttp
 import pytest
 
+from dandelionarch.core.config import Publication, Verdict
+from dandelionarch.core.streams import Record
+from dandelionarch.daemon.app import Daemon
+from dandelionarch.daemon.settings import read_settings
 from dandelionarch.standin.worker import ANNOUNCE_PERIOD_S
-from tests.support.fleet import CUSTOMER_KEY, Fleet
+from tests.support.fleet import ALLOWANCES, CUSTOMER_KEY, PLANS, Fleet
 
 
 @pytest.fixture
@@ -50,6 +54,8 @@
 
     async def _race(self, fleet, session):
         assert fleet.publish().returncode == 0
+        # Both have read revision 1 before the first append arrives.
+        await fleet.log_faults(session, slow_ms=700)
         log = ("--base", "1", "--log", fleet.log_url)
         racers = [
             fleet.start_ctl("amend", "--set", f"plan gold:priority={n}", *log)
@@ -69,6 +75,9 @@
         await fleet.log_faults(session, lost_next=1)
         published = fleet.publish()
         assert published.stdout.startswith("accepted: revision 1"), published.stderr
+        history = fleet.ctl("history", "--log", fleet.log_url).stdout.splitlines()
+        assert len(history) == 1
+        assert "accepted revision=1" in history[0]
 
     def test_outage_is_reported_truthfully(self, fleet):
         """Guards against `nothing changed` for a change that took effect."""
@@ -95,6 +104,24 @@
         assert fleet.ctl("history", "--record", "other", *log).returncode == 1
 
 
+class TestActivation:
+    """A daemon puts a configuration in force once its state is recent."""
+
+    def test_old_revision_is_not_served_while_catching_up(self, tmp_path):
+        """Guards against a replaced VM that serves an older revision for a moment."""
+        fleet = Fleet(tmp_path)
+        path = fleet.write_settings("vm-a", "dc-1")
+        daemon = Daemon(read_settings(path))
+        pub = Publication(0, "ann", (PLANS, ALLOWANCES))
+        decision = daemon.config.apply(Record(0, 0.0, "r0", pub.to_bytes()))
+        assert decision.verdict is Verdict.ACCEPTED
+        daemon._use_config()
+        assert daemon.active.lists is None
+        daemon.streams._node.ready = True
+        daemon._use_config()
+        assert daemon.active.lists is daemon.config.state.lists
+
+
 class TestOutageStart:
     """A replaced daemon learns the state from peers while the log is away."""
 
