--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -6,7 +6,16 @@
 import aiohttp
 import pytest
 
-from tests.support.fleet import Fleet
+from dandelionarch.core.config import Publication, Verdict
+from dandelionarch.core.streams import Record
+from dandelionarch.daemon.app import Daemon
+from dandelionarch.daemon.settings import read_settings
+from dandelionarch.standin.worker import ANNOUNCE_PERIOD_S
+from tests.support.fleet import ALLOWANCES, CUSTOMER_KEY, PLANS, Fleet
+
+# The checkpoint is due a quarter of the retention after the first record.
+CHECKPOINT_SOON = "\n[log]\nretention_s = 10\n[orders]\nwindow_s = 5\n"
+RETAINED = 8
 
 
 @pytest.fixture
@@ -49,6 +58,8 @@
 
     async def _race(self, fleet, session):
         assert fleet.publish().returncode == 0
+        # Both have read revision 1 before the first append arrives.
+        await fleet.log_faults(session, slow_ms=400)
         log = ("--base", "1", "--log", fleet.log_url)
         racers = [
             fleet.start_ctl("amend", "--set", f"plan gold:priority={n}", *log)
@@ -68,6 +79,9 @@
         await fleet.log_faults(session, lost_next=1)
         published = fleet.publish()
         assert published.stdout.startswith("accepted: revision 1"), published.stderr
+        history = fleet.ctl("history", "--log", fleet.log_url).stdout.splitlines()
+        assert len(history) == 1
+        assert "accepted revision=1" in history[0]
 
     def test_outage_is_reported_truthfully(self, fleet):
         """Guards against `nothing changed` for a change that took effect."""
@@ -94,6 +108,24 @@
         assert fleet.ctl("history", "--record", "other", *log).returncode == 1
 
 
+class TestActivation:
+    """A daemon puts a configuration in force once its state is recent."""
+
+    def test_old_revision_is_not_served_while_catching_up(self, tmp_path):
+        """Guards against a replaced VM that serves an older revision for a moment."""
+        fleet = Fleet(tmp_path)
+        path = fleet.write_settings("vm-a", "dc-1")
+        daemon = Daemon(read_settings(path))
+        pub = Publication(0, "ann", (PLANS, ALLOWANCES))
+        decision = daemon.config.apply(Record(0, 0.0, "r0", pub.to_bytes()))
+        assert decision.verdict is Verdict.ACCEPTED
+        daemon._use_config()
+        assert daemon.active.lists is None
+        daemon.streams._node.ready = True
+        daemon._use_config()
+        assert daemon.active.lists is daemon.config.state.lists
+
+
 class TestOutageStart:
     """A replaced daemon learns the state from peers while the log is away."""
 
@@ -126,3 +158,71 @@
         )
         assert done.returncode == 0
         await fleet.ready(session, [], revision=2)
+
+
+class TestCheckpointedLog:
+    """The state outlives the records that made it."""
+
+    def test_daemon_and_operator_start_from_a_checkpoint(self, tmp_path):
+        """Guards against a daemon whose checkpoints no reader can use."""
+        fleet = Fleet(tmp_path)
+        fleet.start_log("--retention-records", str(RETAINED))
+        try:
+            run(fleet, self._truncate)
+        finally:
+            fleet.stop()
+
+    async def _truncate(self, fleet, session):
+        assert fleet.publish().returncode == 0
+        fleet.start_daemon("vm-a", extra=CHECKPOINT_SOON)
+        url = f"{fleet.log_url}/streams/config/records"
+
+        async def checkpointed():
+            async with session.get(url, params={"from": 1}) as resp:
+                return (await resp.json())["records"]
+
+        await fleet.until(checkpointed, "daemon appends a checkpoint")
+        for _ in range(RETAINED - 1):
+            async with session.post(url, data=b"foreign entry") as resp:
+                assert resp.status == 200
+        async with session.get(url, params={"from": 0}) as resp:
+            assert resp.status == 410
+        fleet.start_daemon("vm-b")
+        await fleet.ready(session, [])
+        amended = fleet.ctl(
+            "amend", "--set", "plan gold:priority=1", "--log", fleet.log_url
+        )
+        assert amended.stdout.startswith("accepted: revision 2"), amended.stderr
+        await fleet.ready(session, [], revision=2)
+
+
+class TestDrain:
+    """Operators drain a worker or a daemon through the admin port."""
+
+    def test_drained_worker_and_daemon_take_no_new_work(self, fleet):
+        """Guards against a drain that the worker's next announcement undoes."""
+        run(fleet, self._drain)
+
+    async def _drain(self, fleet, session):
+        daemon = fleet.start_daemon("vm-a")
+        await fleet.until(lambda: fleet.status(session, "vm-a"), "daemon serves")
+        assert fleet.publish().returncode == 0
+        for name in ("orders-1", "orders-2"):
+            fleet.start_worker(name, "orders", "vm-a")
+        await fleet.ready(session, ["orders-1", "orders-2"])
+        admin = ("--daemon", f"127.0.0.1:{daemon.admin}")
+        drained = fleet.ctl("drain", *admin, "--endpoint", "orders-1")
+        assert drained.returncode == 0, drained.stderr
+        assert fleet.ctl("drain", *admin, "--endpoint", "none").returncode == 1
+        # Longer than the period of announcements.
+        await asyncio.sleep(ANNOUNCE_PERIOD_S * 1.2)
+        endpoints = (await fleet.status(session, "vm-a"))["endpoints"]
+        states = {name: e["state"] for name, e in endpoints.items()}
+        assert states == {"orders-1": "draining", "orders-2": "ready"}
+        url = f"http://127.0.0.1:{daemon.ingress}/orders/7"
+        auth = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
+        for _ in range(6):
+            async with session.get(url, headers=auth) as resp:
+                assert (await resp.json())["endpoint"] == "orders-2"
+        assert fleet.ctl("drain", *admin).returncode == 0
+        assert await asyncio.to_thread(daemon.process.wait, 20) == 0
