Give each long place to one request when starts are predicted

Hypothesis draws constants from the modules that are loaded, which is why the file alone passed. The places are now kept one by one; the new test fails without the change.

--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -347,12 +347,13 @@
             for job in self._running.values()
         ]
         free = [now] * (self.slots - self.running) + [end for end, _ in ends]
-        long_ends = [end for end, long in ends if long]
+        long_free = [end for end, long in ends if long]
+        long_free += [now] * (self._open_to_long - len(long_free))
         starts = {}
         for job in waiting:
             start = min(free)
-            if job.long and len(long_ends) >= self._open_to_long:
-                start = max(start, min(long_ends))
+            if job.long:
+                start = max(start, min(long_free))
             end = start + job.cost_s
             latest = now + WAIT_MARGIN * (start - now) + job.high_s
             if self.rules.refuse_late and latest > job.deadline:
@@ -360,5 +361,5 @@
             starts[job] = start
             free[free.index(max(t for t in free if t <= start))] = end
             if job.long:
-                long_ends = [t for t in long_ends if t > start] + [end]
+                long_free[long_free.index(min(long_free))] = end
         return starts
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -104,6 +104,15 @@
         replay = Replay(CostQueue(slots, costs), exact)
         assert ["wait", "refuse"] not in replay.verdicts.values()
 
+    def test_prediction_gives_each_long_place_to_one_request(self):
+        """Guards against admitting long work to a place that others have taken."""
+        queue = CostQueue(3, known_costs())
+        queue.costs.residual_s = lambda key, elapsed_s: COSTS_S[key] - elapsed_s
+        verdicts = [queue.offer(n, 0.0, "long", 2.0) for n in range(4)]
+        assert verdicts == ["run", "run", "wait", "wait"]
+        assert queue.offer("short", 0.03, "short", 1.0) == "run"
+        assert queue.offer("late", 0.03, "long", 1.3) == "refuse"
+
     def test_refuses_at_once_what_cannot_end_in_time(self):
         """Guards against queueing work that would miss its deadline."""
         queue = CostQueue(1, known_costs())
