--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -304,6 +304,7 @@
             "ready": self.streams.ready,
             "log_available": self.streams.available,
             "headroom": self.fleet.headroom(),
+            "ejected": self.fleet.ejected(),
             "vms": {vm.vm_id: vm.state.value for vm in self.directory.vms.values()},
             "endpoints": {
                 e.endpoint_id: {
--- a/dandelionarch/daemon/fleet.py
+++ b/dandelionarch/daemon/fleet.py
@@ -121,6 +121,10 @@
         """Return the claims that would still be accepted, by service."""
         return {s: self.fold.headroom(s) for s in sorted(self.fold.services)}
 
+    def ejected(self):
+        """Return the endpoints of the fleet that a claim in the log ejects."""
+        return sorted(e for s in self.fold.services.values() for e in s.claims)
+
     async def run(self):
         """Do this daemon's part until cancelled."""
         writer = asyncio.create_task(self._write())
--- a/dandelionarch/measure/chaos_client.py
+++ b/dandelionarch/measure/chaos_client.py
@@ -34,7 +34,9 @@
         self._session = None
         self._issued = []
         self._number = 0
+        self._last = {}
         self.broken = 0
+        self.only_reads = False
 
     async def run(self, duration_s, rate):
         """Begin `rate` orders a second for `duration_s` seconds; wait for all."""
@@ -52,6 +54,8 @@
     async def _one(self):
         self._number += 1
         kind = self._rng.choice(("own", "own", "issued", "none", "read"))
+        if self.only_reads:
+            kind = "read"
         if kind == "read":
             await self._send("GET", "/calendar/today", "", b"")
         elif kind == "none":
@@ -61,6 +65,10 @@
             if key:
                 await self._order(key, self._body())
 
+    def last_through(self, port):
+        """Return the id of the last read sent through an ingress port."""
+        return self._last.get(port, "")
+
     def _body(self):
         return self._rng.randbytes(self._rng.choice(BODY_SIZES))
 
@@ -96,7 +104,8 @@
     async def _send(self, method, path, key, body):
         """Send one request and record it; return the outcome told."""
         headers = {"Idempotency-Key": key} if key else {}
-        url = f"http://127.0.0.1:{self._port()}{path}"
+        port = self._port()
+        url = f"http://127.0.0.1:{port}{path}"
         sent = time.time()
         timeout = aiohttp.ClientTimeout(total=REQUEST_TIMEOUT_S)
         try:
@@ -113,6 +122,8 @@
             # The caller's own connection broke; it knows nothing of the outcome.
             self.broken += 1
             return "broken"
+        if method == "GET":
+            self._last[port] = request_id
         self._evidence.attempts.append(
             Attempt(
                 request_id, key, method == "POST", outcome, whole, sent, time.time()
--- /dev/null
+++ b/dandelionarch/measure/demo.py
@@ -0,0 +1,121 @@
+"""Requests of the demo, with faults on the way and an audit at the end."""
+
+import argparse
+import asyncio
+import contextlib
+import os
+import signal
+import time
+from collections import Counter
+from pathlib import Path
+from types import SimpleNamespace
+
+import aiohttp
+
+from dandelionarch.measure.chaos_audit import Evidence, audit
+from dandelionarch.measure.chaos_client import ChaosClient
+
+INGRESS_PORTS = (18200, 18210, 18220, 18230)
+STOPPING = 3
+ADMIN_OFFSET = 3
+CALENDAR_PORTS = {f"calendar-{n}": 18300 + n for n in range(4)}
+ORDERS_PORTS = {f"orders-{10 + n}": 18310 + n for n in range(4)}
+GRAY = "calendar-2"
+GRAY_VM = 2
+# An endpoint on trial is ejected for all work but single requests that test it.
+EJECTED = ("ejected", "trial")
+PHASE_S = 8.0
+ORDERS_PER_S = 20
+READY_TIMEOUT_S = 30.0
+SEED = 1
+
+
+class Demo:
+    """Sends requests in phases while a worker fails and a daemon stops."""
+
+    def __init__(self, stop_pid):
+        self.evidence = Evidence()
+        self.workers = {**CALENDAR_PORTS, **ORDERS_PORTS}
+        self._stop_pid = stop_pid
+        daemons = {n: SimpleNamespace(ingress=p) for n, p in enumerate(INGRESS_PORTS)}
+        self._fleet = SimpleNamespace(daemons=daemons)
+        self.client = ChaosClient(self._fleet, self.evidence, SEED)
+        self.health = ""
+
+    async def run(self):
+        """Run all phases and collect the workers' records."""
+        async with aiohttp.ClientSession() as session:
+            await self._ready(session)
+            print("== serving reads, orders and issued keys")
+            await self._phase()
+            print(f"== worker {GRAY} fails grayly: half of its answers are errors")
+            url = f"http://127.0.0.1:{self.workers[GRAY]}/standin/faults"
+            async with session.post(url, json={"errors": 0.5}):
+                pass
+            await self._phase(reads=True)
+            own = await self._status(session, GRAY_VM)
+            self.health = own["endpoints"][GRAY]["health"]
+            print(f"   {GRAY} is now {self.health}")
+            print(f"== daemon vm-{STOPPING} stops while requests are in flight")
+            del self._fleet.daemons[STOPPING]
+            os.kill(self._stop_pid, signal.SIGTERM)
+            await self._phase()
+            await self._collect(session)
+
+    async def _phase(self, reads=False):
+        self.client.only_reads = reads
+        await self.client.run(PHASE_S, ORDERS_PER_S * (3 if reads else 1))
+
+    async def _ready(self, session):
+        limit = time.monotonic() + READY_TIMEOUT_S
+        while time.monotonic() < limit:
+            with contextlib.suppress(aiohttp.ClientError):
+                states = [await self._status(session, n) for n in self._fleet.daemons]
+                known = all(set(self.workers) <= set(s["endpoints"]) for s in states)
+                if known and all(s["revision"] for s in states):
+                    return
+            await asyncio.sleep(0.2)
+        raise TimeoutError("the fleet did not become ready")
+
+    async def _status(self, session, number):
+        port = INGRESS_PORTS[number] + ADMIN_OFFSET
+        async with session.get(f"http://127.0.0.1:{port}/status") as resp:
+            return await resp.json()
+
+    async def _collect(self, session):
+        for endpoint, port in self.workers.items():
+            async with session.get(f"http://127.0.0.1:{port}/standin/runs") as resp:
+                runs = await resp.json()
+            self.evidence.runs += [{**run, "endpoint": endpoint} for run in runs]
+
+
+def report(demo):
+    """Print what happened; return the violations."""
+    outcomes = Counter(a.outcome for a in demo.evidence.attempts)
+    print("== what callers were told")
+    for outcome, count in sorted(outcomes.items()):
+        print(f"   {outcome}: {count}")
+    violations = audit(demo.evidence)
+    if demo.health not in EJECTED:
+        violations.append(f"{GRAY} is {demo.health}, not ejected")
+    if demo.client.broken:
+        violations.append(f"{demo.client.broken} connections of callers broke")
+    for text in violations:
+        print(f"BROKEN PROMISE {text}")
+    return violations
+
+
+def main(argv=None):
+    """Run the demo; return 1 if a promise was broken."""
+    parser = argparse.ArgumentParser(prog="demo", description=__doc__)
+    parser.add_argument("--stop-pid", type=int, required=True)
+    parser.add_argument("--request-file", type=Path, required=True)
+    args = parser.parse_args(argv)
+    demo = Demo(args.stop_pid)
+    asyncio.run(demo.run())
+    args.request_file.write_text(demo.client.last_through(INGRESS_PORTS[0]))
+    return 1 if report(demo) else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
