--- a/dandelionarch/core/detection.py
+++ b/dandelionarch/core/detection.py
@@ -231,6 +231,7 @@
     def restart(self):
         """Forget suspicions, for example after a change of state."""
         self._suspicion = self._requery_due = None
+        self._quiet_until = 0.0
         self._tests = Tests()
         self._settled = {run_id for run_id, run in self._runs.items() if run.counted}
         for state in self.kinds.values():
@@ -309,8 +310,9 @@
         if max(slow, failing) >= CONFIRM_NATS:
             self.restart()
             return [Confirmed(suspicion.kinds, score, True, failing >= CONFIRM_NATS)]
-        self._quiet_until = now + REQUERY_S
-        self._use_shared_level(peers)
+        # A shared cause can last: the alarm stays and asks ever less often.
+        lasted_s = now - suspicion.alarm.since
+        self._quiet_until = now + max(REQUERY_S, lasted_s / 2)
         return []
 
     def _against(self, alarm, peers):
@@ -336,17 +338,6 @@
         share = sum(failed for *_, failed in alarm.seen) / len(alarm.seen)
         return 10 * share + (sum(excess) / len(excess) if excess else 0.0)
 
-    def _use_shared_level(self, peers):
-        """Test against what the peers show now if they are all slow or failing."""
-        for kind, told in peers.items():
-            state = self.kinds[kind]
-            now_usual = state.baseline.at_level_of(told)
-            slower = now_usual.median_log - state.baseline.median_log > SLOW_LOG / 2
-            failing = now_usual.failure_share > FAILURE_SHARE
-            if slower or failing:
-                state.baseline = now_usual
-                self._tests = state.tests = Tests()
-
     def _comparable(self, suspicion, replies):
         """Return the usable summaries by kind, for kinds with enough of them."""
         enough = min(ENOUGH_PEERS, len(replies))
--- a/dandelionarch/core/health.py
+++ b/dandelionarch/core/health.py
@@ -54,17 +54,11 @@
         return commands + self._changed(self.ejection.tick(now))
 
     def peers_replied(self, query, replies, now):
-        """Handle the replies to `QueryPeers`; peers that declined are left out."""
+        """Handle the replies to `QueryPeers`; missing ones are left out."""
         return self._use(self.detector.peers_replied(query, replies, now), now)
 
     def summary(self, kind, cap_log, window_s, now):
-        """Return the evidence for a peer, or None unless healthy.
-
-        An endpoint that gets little work, or is known to be bad, would move the
-        median of the peers.
-        """
-        if self.ejection.state is not State.HEALTHY:
-            return None
+        """Return the evidence for a peer."""
         return self.detector.summary(kind, cap_log, window_s, now)
 
     def claim_accepted(self, now):
--- a/dandelionarch/core/messages/evidence.py
+++ b/dandelionarch/core/messages/evidence.py
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EvidenceSummary:
-    """Reply to `EvidenceQuery`; empty if the endpoint is no yardstick now."""
+    """Reply to `EvidenceQuery`; empty if the agent does not know the endpoint."""
 
     endpoint_id: str
     kinds: tuple[KindSummary, ...]
--- a/dandelionarch/daemon/health.py
+++ b/dandelionarch/daemon/health.py
@@ -228,11 +228,10 @@
 
     def _on_query(self, link, query):
         state = self._states.get(query.endpoint_id)
-        told = []
-        for kind, cap_log in zip(query.kinds, query.cap_logs, strict=False):
-            now = self._network.now()
-            summary = state and state.summary(kind, cap_log, query.window_s, now)
-            if summary is not None:
+        told, now = [], self._network.now()
+        if state is not None:
+            for kind, cap_log in zip(query.kinds, query.cap_logs, strict=False):
+                summary = state.summary(kind, cap_log, query.window_s, now)
                 told.append(msgs.KindSummary(kind, *dataclasses.astuple(summary)))
         return msgs.EvidenceSummary(query.endpoint_id, tuple(told))
 
--- a/dandelionarch/measure/judging.py
+++ b/dandelionarch/measure/judging.py
@@ -104,13 +104,12 @@
         self._run(self.state.run_ended(id(attempt), end, now))
 
     def summaries(self, query):
-        """Return the evidence for a peer, or None."""
+        """Return the evidence for a peer."""
         now = self.timers.now()
-        told = {
+        return {
             kind: self.state.summary(kind, cap_log, query.window_s, now)
             for kind, cap_log in zip(query.kinds, query.cap_logs, strict=True)
         }
-        return None if None in told.values() else told
 
     def _tick(self):
         self._run(self.state.tick(self.timers.now()))
@@ -150,8 +149,7 @@
         def finish():
             if not done:
                 done.append(True)
-                told = [r for r in replies if r is not None]
-                self._run(self.state.peers_replied(query, told, self.timers.now()))
+                self._run(self.state.peers_replied(query, replies, self.timers.now()))
 
         def reply(told):
             replies.append(told)
--- a/dandelionarch/measure/rules.py
+++ b/dandelionarch/measure/rules.py
@@ -8,7 +8,6 @@
 from dandelionarch.core import detection, selection
 from dandelionarch.core.detection import Detector
 from dandelionarch.core.ejection import Ejection
-from dandelionarch.core.health import EndpointHealth
 from dandelionarch.measure import scenarios
 
 POLICY = "dandelionarch"
@@ -28,7 +27,7 @@
     @property
     def is_fault(self):
         """Return True if the scenario is a gray failure."""
-        return self.scenario in scenarios.FAULTS
+        return self.scenario not in scenarios.HEALTHY_RUNS
 
 
 def constant(module, name, value):
@@ -82,10 +81,6 @@
     return judged
 
 
-def _any_answers(self, kind, cap_log, window_s, now):
-    return self.detector.summary(kind, cap_log, window_s, now)
-
-
 RULES = (
     Rule(
         "runs in progress count at the cap",
@@ -94,7 +89,7 @@
     ),
     Rule(
         "test per kind",
-        "one kind 10 times slower",
+        "rarer kind 3 times slower",
         method(Detector, "_suspect", _all_kinds_only(Detector._suspect)),
     ),
     Rule(
@@ -112,11 +107,6 @@
         "crest, all 3 times slower",
         method(Detector, "_judge", _confirm_at_once),
     ),
-    Rule(
-        "baseline moves to a shared level",
-        "crest, all 3 times slower",
-        method(Detector, "_use_shared_level", lambda self, peers: None),
-    ),
     Rule(
         "second verdict before a claim for slowness",
         "3% stragglers",
@@ -131,14 +121,9 @@
         "cold starts",
         method(Detector, "run_started", _all_are_warm(Detector.run_started)),
     ),
-    Rule(
-        "unhealthy endpoints are no yardstick",
-        "3 times slower",
-        method(EndpointHealth, "summary", _any_answers),
-    ),
     Rule(
         "demoted endpoints last",
-        "3 times slower",
+        "50% errors, log unavailable",
         constant(selection, "healthy_first", lambda cands, drops, rng: cands),
     ),
 )
--- a/dandelionarch/measure/scenarios.py
+++ b/dandelionarch/measure/scenarios.py
@@ -45,6 +45,11 @@
     "flapping, period 60 s": {"slow": 10.0, "flap_period_s": 60.0},
     "reachable one way": None,
 }
+# Used only to show what single rules are for.
+RULE_FAULTS = {
+    "rarer kind 3 times slower": {"slow": 3.0, "kind": "order"},
+    "50% errors, log unavailable": {"error_share": 0.5},
+}
 
 
 def build(policy, workers, seed, **options):
@@ -85,6 +90,8 @@
     model = build(policy, workers, seed)
     agent = model.agents[random.Random(seed).randrange(workers)]
     end_s = FAULT_START_S + FAULT_WATCH_S
+    if fault in RULE_FAULTS:
+        return _rule_detection_s(model, agent, fault)
     if FAULTS[fault] is None:
         model.timers.subscribe(FAULT_START_S, lambda: cut_receiving(model, agent))
         model.run(end_s)
@@ -96,6 +103,23 @@
     return quiet_after(times, FAULT_START_S, end_s)
 
 
+def _rule_detection_s(model, agent, fault):
+    """Return the seconds until the worker is no longer healthy, or gets no work.
+
+    Without the log it is the seconds of a worker's work that the failing worker
+    still gets within 30 s.
+    """
+    spec, end_s = RULE_FAULTS[fault], FAULT_START_S + FAULT_WATCH_S
+    agent.worker.faults.append(Fault(start_s=FAULT_START_S, **spec))
+    if "log" in fault:
+        model.log.available = False
+        model.run(end_s)
+        late = [t for t in agent.starts if FAULT_START_S <= t < FAULT_START_S + 30.0]
+        return len(late) / RATE_PER_WORKER
+    model.run(end_s)
+    return quiet_after(agent.starts, FAULT_START_S, end_s)
+
+
 @dataclass(frozen=True)
 class HealthyRun:
     """A run without a failing worker; `prepare(model)` changes the model."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -190,14 +190,13 @@
 
         asyncio.run(body())
 
-    def test_ejected_endpoint_is_no_yardstick(self):
-        """Guards the peers' median against known bad endpoints."""
+    def test_query_about_an_unknown_endpoint_gets_no_evidence(self):
+        """Guards against an empty summary that looks like a healthy peer."""
 
         async def body():
-            fleet = await with_failures(Claims(), status=500)
-            query = EvidenceQuery("w-0", ("read",), (0.0,), 60.0)
-            assert fleet.watches["vm-0"]._on_query(None, query).kinds == ()
+            fleet = await with_failures(Claims())
             query = EvidenceQuery("w-1", ("read",), (0.0,), 60.0)
+            assert fleet.watches["vm-0"]._on_query(None, query).kinds == ()
             assert fleet.watches["vm-1"]._on_query(None, query).kinds[0].count > 0
 
         asyncio.run(body())
