--- a/dandelionarch/measure/processes.py
+++ b/dandelionarch/measure/processes.py
@@ -139,6 +139,13 @@
 
     def start_daemon(self, vm, data_centre="dc-1", seeds=(), extra=""):
         """Start one daemon; `seeds` are names of daemons started before."""
+        path = self.write_settings(vm, data_centre, seeds, extra)
+        daemon = self.daemons[vm]
+        daemon.process = self._start(vm, "daemon", str(path))
+        return daemon
+
+    def write_settings(self, vm, data_centre="dc-1", seeds=(), extra=""):
+        """Write one daemon's settings and return the path."""
         daemon = self.daemons.get(vm) or DaemonProcess(vm, data_centre)
         self.daemons[vm] = daemon
         path = self.directory / f"{vm}.ini"
@@ -156,8 +163,7 @@
             )
             + extra
         )
-        daemon.process = self._start(vm, "daemon", str(path))
-        return daemon
+        return path
 
     def start_worker(self, endpoint, service, vm, *options):
         """Start a worker beside a daemon; return its port."""
@@ -215,9 +221,18 @@
         self.processes.append(process)
         return process
 
-    def start_load(self, url, rate, duration_s):
-        """Start a background load of reads through one daemon."""
-        return self._start("load", "load", url, str(rate), str(duration_s))
+    def start_load(self, ports, route, rate, duration_s):
+        """Start `dandelion-load` on one route through several daemons."""
+        targets = [f"--target=http://127.0.0.1:{port}" for port in ports]
+        return self._start(
+            "load",
+            "load",
+            *targets,
+            *("--customer", f"shop={CUSTOMER_KEY}"),
+            *("--route", route),
+            *("--step", f"{rate}:{duration_s}"),
+            *("--records", str(self.directory / "load.jsonl")),
+        )
 
     async def log_faults(self, session, **faults):
         """Set the log stand-in's faults; without any, it works again."""
