--- a/dandelionarch/measure/__main__.py
+++ b/dandelionarch/measure/__main__.py
@@ -6,7 +6,7 @@
 
 # Each module has `NAME`, `HELP` and `main(args)`, which takes the rest of the
 # command line and returns an exit code. Without a name, all run in this order.
-MODULES = ("blocking", "crest", "floor", "membership", "orders", "speed")
+MODULES = ("blocking", "crest", "detection", "floor", "membership", "orders", "speed")
 # These run only when they are named.
 NAMED_ONLY = ("chaos",)
 
