--- a/dandelionarch/measure/crest.py
+++ b/dandelionarch/measure/crest.py
@@ -326,9 +326,11 @@
     parser = argparse.ArgumentParser(description=HELP)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--rows", default="", help="part of the rows' names")
+    parser.add_argument("--demand", choices=DEMANDS, help="only this demand")
     args = parser.parse_args(args)
+    demands = [args.demand] if args.demand else DEMANDS
     names = [n for n in ROWS if args.rows in n]
-    tasks = [(n, demand, args.seeds) for demand in DEMANDS for n in names]
+    tasks = [(n, demand, args.seeds) for demand in demands for n in names]
     with ProcessPoolExecutor(PROCESSES) as pool:
         print_table(HEADER, pool.map(row, tasks))
 
