Let requests that arrive together ask the home in turn

Requests of one customer that waited for the same exchange were refused if its grant did not suffice for all, although they were within the limit: of 16 at once only a few were admitted. Each now asks again, for more each time, up to 6 exchanges. A message that is not sent because another is on its way no longer loses the own use that it settles.

The test of simultaneous requests fails when sharers are not asked again.

--- a/dandelionarch/core/limit_share.py
+++ b/dandelionarch/core/limit_share.py
@@ -201,6 +201,13 @@
             account.denied_until = now + SILENT_HOME_S
             account.spent += msg.spent
 
+    def unsent(self, msg):
+        """Take back what a message says, as another one is on its way."""
+        account = self.accounts.get((msg.customer, msg.service, msg.period))
+        if account is not None:
+            account.spent += msg.spent
+            account.returned += msg.returned
+
     def is_silent(self, home, now):
         """Return True if a home did not answer within the last second."""
         return self._silent.get(home, 0.0) > now
--- a/dandelionarch/daemon/limits.py
+++ b/dandelionarch/daemon/limits.py
@@ -21,6 +21,8 @@
 # for one exchange between data centres; a home in trouble is not waited for longer.
 GRANT_TIMEOUT_S = 0.05
 TICK_S = 1.0
+# Requests that arrive together ask one after the other, for more each time.
+MAX_EXCHANGES = 6
 
 
 class Limits:
@@ -75,9 +77,11 @@
         ):
             return None, Reason.SHED, 0.0
         verdict = self._decide(work)
-        if verdict.step is Step.ASK:
-            await self._ask(verdict)
-            verdict = self._decide(work, asked=True)
+        for left in reversed(range(MAX_EXCHANGES)):
+            if verdict.step is not Step.ASK:
+                break
+            shared = await self._ask(verdict)
+            verdict = self._decide(work, asked=not shared or not left)
         if verdict.step is Step.REFUSE:
             return None, Reason.OVER_LIMIT, verdict.retry_after_s
         if verdict.message is not None:
@@ -123,13 +127,20 @@
         )
 
     async def _ask(self, verdict):
-        """Ask the home once for all requests that wait for the same tokens."""
+        """Ask the home, or wait for its reply to another request of the customer.
+
+        Returns True in the second case: that reply may not suffice for all.
+        """
         fut = self._waiting.get(verdict.key)
-        if fut is None:
+        shared = fut is not None
+        if shared:
+            self._shares.unsent(verdict.message)
+        else:
             fut = self._network.spawn(self._exchange(verdict.key, verdict.message))
             self._waiting[verdict.key] = fut
             fut.add_done_callback(lambda _: self._waiting.pop(verdict.key, None))
         await asyncio.shield(fut)
+        return shared
 
     async def _exchange(self, key, msg):
         home = self._placement.home(key[0])
