Refuse a claim that was revoked before its caller went on

Between the reading of an accepted claim and the caller's next step the claim's revocation may be read; the answer now is what the holder ejects at that moment. The test fails with the verdict as the answer. Incarnations of daemons count microseconds.

--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -73,7 +73,8 @@
             cfg.peer_port,
             cfg.gossip_port,
             cfg.admin_port,
-            Incarnation(time.time_ns() // 1_000_000),
+            # The digits below a millisecond serve as the random part.
+            Incarnation(time.time_ns() // 1_000),
         )
         self.directory = Directory()
         self.directory.put_vm(self.vm)
--- a/dandelionarch/daemon/fleet.py
+++ b/dandelionarch/daemon/fleet.py
@@ -96,7 +96,8 @@
             verdict=verdict.value if verdict else "unknown",
             headroom=self.fold.headroom(service),
         )
-        return verdict is FleetVerdict.ACCEPTED
+        # A revocation may have been read since, before this coroutine went on.
+        return (endpoint_id, incarnation) in self._holder.ejected()
 
     async def release(self, endpoint_id, incarnation):
         """Release a claim; call it after the endpoint is no longer ejected.
--- a/tests/test_fleet_service.py
+++ b/tests/test_fleet_service.py
@@ -23,6 +23,7 @@
         self.readers = []
         self.up = True
         self.lose_reply = False
+        self.after_claim = None
 
     def append(self, data):
         """Append and let every reader apply, unless the log is down."""
@@ -33,6 +34,8 @@
         self.records.append(records.from_bytes(data))
         for reader in self.readers:
             reader.apply(record)
+        if self.after_claim is not None and data.endswith(b'"EjectClaim"}'):
+            self.append(records.to_bytes(self.after_claim))
         if self.lose_reply:
             raise PlatformUnavailableError("reply lost")
         return number
@@ -185,6 +188,15 @@
 
         run(scenario)
 
+    def test_claim_that_is_gone_before_the_caller_goes_on_is_refused(self):
+        """Guards against an ejection that begins after its revocation was read."""
+
+        async def scenario(log, one, two):
+            log.after_claim = records.Withdraw("vm-0", 1)
+            assert not await one.eject("a")
+
+        run(scenario)
+
     def test_no_claim_and_the_own_floor_while_the_log_is_down(self, monkeypatch):
         """Guards the floor by the agent's own view during an outage."""
         monkeypatch.setattr("dandelionarch.daemon.fleet.REPEAT_S", 0.5)
