--- a/dandelionarch/daemon/health.py
+++ b/dandelionarch/daemon/health.py
@@ -49,8 +49,8 @@
     claims : object, optional
         With `async claim(endpoint_id, incarnation, service, score)`, which returns
         whether the claim was accepted, and `async release(endpoint_id,
-        incarnation)`; both may raise `PlatformError` while the log is
-        unavailable. Endpoints are only demoted without it.
+        incarnation)`; both may raise `PlatformError`. Endpoints are only demoted
+        without it.
     rng : random.Random, optional
         Chooses the peers that are asked.
 
@@ -65,6 +65,7 @@
         self._rng = rng or random.Random()
         self._states = {}
         self._open = set()
+        self._revoked = set()
         self.on_eject = lambda endpoint_id: None
         network.subscribe(msgs.EvidenceQuery, self._on_query)
 
@@ -113,13 +114,10 @@
         self._end(endpoint, run, RunEnd.FAILED)
 
     def revoked(self, endpoint_id, incarnation):
-        """Stop ejecting an endpoint whose claim the fold has released."""
+        """Stop ejecting an endpoint whose claim no longer stands."""
+        self._revoked.add((endpoint_id, incarnation))
         self._handle(endpoint_id, incarnation, EndpointHealth.claim_revoked)
 
-    def below_floor(self, endpoint_id, incarnation):
-        """Readmit an endpoint as too few live members are in view."""
-        self._handle(endpoint_id, incarnation, EndpointHealth.below_floor)
-
     def _end(self, endpoint, run, end):
         self._open.discard(run)
         state = self._state(endpoint)
@@ -175,13 +173,15 @@
 
     async def _claim(self, endpoint, score):
         key = (endpoint.endpoint_id, endpoint.incarnation)
+        self._revoked.discard(key)
         try:
             accepted = await self._claims.claim(*key, endpoint.service, score)
         except PlatformError as exc:
             event(log, "claim_failed", logging.WARNING, endpoint=key[0], detail=exc)
             accepted = False
         event(log, "claim_judged", endpoint=key[0], accepted=accepted)
-        if accepted:
+        # The revocation may come between the verdict and this task's next step.
+        if accepted and key not in self._revoked:
             self._handle(*key, EndpointHealth.claim_accepted)
         else:
             self._handle(*key, EndpointHealth.claim_refused)
