Fetch endpoint detail on first use; refuse two customers with one key

Above 1,000 endpoints the first request for a service found no endpoint and was refused; it now waits up to 0.5 s for the detail. The last of two customers with the same key took the other's requests. A raised incarnation also reaches the homes of orders, whose issued keys would otherwise name the former process.

--- a/dandelionarch/core/amend.py
+++ b/dandelionarch/core/amend.py
@@ -9,6 +9,7 @@
     PLAN_SECTIONS,
     PLANS_FILE,
     Lists,
+    check_keys,
     check_references,
     parse_section,
 )
@@ -162,6 +163,8 @@
         else:
             known = {"services": lists.services, "plans": lists.plans}
             check_references(Lists(**{**self.touched, **known}))
+        if changed := self.touched.get("customers"):
+            check_keys(lists.customers, changed)
         return lists
 
 
--- a/dandelionarch/core/lists.py
+++ b/dandelionarch/core/lists.py
@@ -201,6 +201,7 @@
         allow=sections["allow"],
     )
     check_references(lists)
+    check_keys(lists.customers, lists.customers)
     return lists
 
 
@@ -252,6 +253,21 @@
             raise ListError(PLANS_FILE, f"customer {name}", "plan", problem)
 
 
+def check_keys(customers, changed):
+    """Raise `ListError` if one of the changed customers has another one's key.
+
+    Parameters
+    ----------
+    customers, changed : dict of str to CustomerSection
+    """
+    owners = {section.key_digest: name for name, section in changed.items()}
+    for name, section in customers.items():
+        owner = owners.get(section.key_digest, name)
+        if owner != name:
+            problem = f"customer {owner} has the same key; each needs its own"
+            raise ListError(PLANS_FILE, f"customer {name}", "key_digest", problem)
+
+
 def _require(known, name, section, option):
     if name not in known:
         problem = f"{name!r} has no section of its own"
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -137,7 +137,8 @@
         )
         self.gossip.carry_offsets(self.streams.offsets)
         self.gossip.on_peer_offsets(self.streams.peer_offsets)
-        self.gossip.on_incarnation(self.fleet.use_incarnation)
+        self.gossip.on_incarnation(self._use_incarnation)
+        self.ingress.fetch_endpoints = self.gossip.ensure
         self.gossip.carry_addresses(self.fleet.fold.addresses)
         self.announcements = Announcements()
         self._servers = []
@@ -260,6 +261,12 @@
                 event(log, "endpoint_silent", endpoint=endpoint.endpoint_id)
                 self.directory.put_endpoint(endpoint)
 
+    def _use_incarnation(self, incarnation):
+        """Go on under a higher incarnation than a former process on this VM."""
+        self.vm = dataclasses.replace(self.vm, incarnation=incarnation)
+        self.order_homes.vm = self.vm
+        self.fleet.use_incarnation(incarnation)
+
     def announced(self, endpoint):
         """Take note of an endpoint beside this daemon."""
         if self._drained.get(endpoint.endpoint_id) == endpoint.incarnation and (
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -24,6 +24,7 @@
 
 HOLD_BYTES = 256 << 10
 DECISION_RING_SIZE = 10_000
+FETCH_TIMEOUT_S = 0.5
 
 
 class Ingress:
@@ -45,6 +46,7 @@
         self._link_faults = LinkFaults()
         self.decisions = {}
         self.on_load = lambda load: None
+        self.fetch_endpoints = None
         for cls in (msgs.ResponseHead, msgs.ResponseChunk, msgs.Refusal, msgs.Failure):
             network.subscribe(cls, self._on_reply)
         network.subscribe(
@@ -86,6 +88,7 @@
             lambda: self._reserve(req),
         )
         self._retries.first(loop.time())
+        await self._learn_endpoints(work.service, deadline)
         command = life.start(loop.time())
         while isinstance(command, Dispatch):
             command = await self._attempt(life, work, req, command)
@@ -96,6 +99,13 @@
             raise CallerBodyError(command.outcome, life.caller_error)
         return command
 
+    async def _learn_endpoints(self, service, deadline):
+        """Wait for the first detail of a service that was not in use here."""
+        if self.fetch_endpoints is None or any(self._directory.endpoints_of(service)):
+            return
+        left_s = deadline - asyncio.get_running_loop().time()
+        await self.fetch_endpoints(service, max(0.0, min(FETCH_TIMEOUT_S, left_s)))
+
     def _reserve(self, req):
         """Reserve a redirect for a request that goes to its agent in one message."""
         if not _inline(req):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -120,3 +120,18 @@
         change = amended(1, changed={"route create": {"idempotent": "true"}})
         assert apply(other, change) == apply(fold, change)
         assert other.state.lists.routes["create"].idempotent
+
+
+class TestCustomerKeys:
+    """A key belongs to one customer."""
+
+    def test_two_customers_with_one_key_are_refused(self):
+        """Guards against a request that counts for another customer."""
+        twin = PLANS + PLANS.replace("customer shop", "customer club")
+        with pytest.raises(ListError) as caught:
+            parse_lists(twin, ALLOWANCES)
+        assert caught.value.option == "key_digest"
+        section = parse_lists(PLANS, ALLOWANCES).customers["shop"]
+        digest = {"key_digest": section.key_digest, "plan": section.plan}
+        with pytest.raises(ListError):
+            amend(parse_lists(*LISTS), Difference({"customer club": digest}, (), {}))
