--- a/dandelionarch/measure/chaos.py
+++ b/dandelionarch/measure/chaos.py
@@ -27,6 +27,7 @@
 ORDERS_PER_S = 12
 LOAD_PER_S = 60
 POLL_S = 0.5
+PUBLISH_TRIES = 20
 SETTLE_S = 4.0
 FAULTS = "\n[faults]\nenabled = true\n"
 CALENDAR = """
@@ -85,9 +86,12 @@
         for endpoint in self.endpoints:
             service, vm, _ = endpoint.split("-")
             self.fleet.start_worker(endpoint, service, f"vm-{vm}", "--work-ms", "20")
-        published = self.fleet.publish(allowances=ALLOWANCES + CALENDAR)
-        if published.returncode:
-            raise RuntimeError(published.stderr)
+        for _ in range(PUBLISH_TRIES):
+            published = self.fleet.publish(allowances=ALLOWANCES + CALENDAR)
+            if not published.returncode:
+                return
+            time.sleep(POLL_S)
+        raise RuntimeError(published.stderr)
 
     def _start_daemon(self, vm):
         centre = DATA_CENTRES[self.vms.index(vm) % len(DATA_CENTRES)]
