Plan long work behind the long work that runs

The prediction removed all long work that ended before a planned start, so a second long request was planned into the slot that is closed to long work, let in, and refused when its turn came. A Hypothesis test found it in a run of all tests, whose examples differ from those of the file alone. The prediction now counts the long work that goes on at each instant. The new test fails without the fix.

--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -351,8 +351,9 @@
         starts = {}
         for job in waiting:
             start = min(free)
-            if job.long and len(long_ends) >= self._open_to_long:
-                start = max(start, min(long_ends))
+            long_then = sorted(t for t in long_ends if t > start)
+            if job.long and len(long_then) >= self._open_to_long:
+                start = long_then[-self._open_to_long]
             end = start + job.cost_s
             latest = now + WAIT_MARGIN * (start - now) + job.high_s
             if self.rules.refuse_late and latest > job.deadline:
@@ -360,5 +361,5 @@
             starts[job] = start
             free[free.index(max(t for t in free if t <= start))] = end
             if job.long:
-                long_ends = [t for t in long_ends if t > start] + [end]
+                long_ends.append(end)
         return starts
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -104,6 +104,13 @@
         replay = Replay(CostQueue(slots, costs), exact)
         assert ["wait", "refuse"] not in replay.verdicts.values()
 
+    def test_long_work_is_planned_behind_long_work(self):
+        """Guards against letting in long work for a slot that is closed to it."""
+        queue = CostQueue(3, known_costs())
+        verdicts = [queue.offer(i, 0.0, "long", 9.0) for i in range(3)]
+        assert verdicts == ["run", "run", "wait"]
+        assert queue.offer(3, 0.01, "long", 0.55) == "refuse"
+
     def test_refuses_at_once_what_cannot_end_in_time(self):
         """Guards against queueing work that would miss its deadline."""
         queue = CostQueue(1, known_costs())
