--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -17,11 +17,12 @@
 from dandelionarch.core.world import EndpointState, Vm
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
+from dandelionarch.daemon.caller_protocol import IngressProtocol
 from dandelionarch.daemon.fleet import FleetService
 from dandelionarch.daemon.gossip import Gossip
 from dandelionarch.daemon.health import HealthWatch
 from dandelionarch.daemon.ingress import Ingress
-from dandelionarch.daemon.ingress_http import IngressHttp, IngressProtocol
+from dandelionarch.daemon.ingress_http import IngressHttp
 from dandelionarch.daemon.limits import Limits
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.listening import close_listener
--- /dev/null
+++ b/dandelionarch/daemon/caller_protocol.py
@@ -0,0 +1,67 @@
+"""Connections of callers, and the form of what they are refused with."""
+
+import logging
+import math
+
+from sanic import Sanic
+from sanic.http import Stage
+from sanic.response import json
+from sanic.server import HttpProtocol
+
+from dandelionarch.core.outcome import Outcome
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+
+class IngressProtocol(HttpProtocol):
+    """Connection of a caller, limited in number and in time for its headers."""
+
+    __slots__ = ()
+
+    def connection_made(self, transport):
+        if len(self.connections) >= self.app.ctx.max_connections:
+            event(log, "caller_refused", logging.WARNING, reason="connections")
+            transport.abort()
+            return
+        super().connection_made(transport)
+
+    def connection_lost(self, exc):
+        if self.transport is not None:
+            super().connection_lost(exc)
+
+    def data_received(self, data):
+        since = self._time
+        super().data_received(data)
+        if self.http is not None and self.http.stage is Stage.REQUEST:
+            # Headers that arrive byte by byte must not restart the timeout.
+            self._time = since
+
+
+class IngressApp(Sanic):
+    """Application without the signals of each request, which nothing receives."""
+
+    async def dispatch(self, event, **kwargs):
+        """Dispatch a signal unless it belongs to one request."""
+        if event.startswith("http."):
+            return None
+        return await super().dispatch(event, **kwargs)
+
+
+def problem(status, title, request_id, outcome=Outcome.NOT_RUN, retry_after_s=None):
+    """Return a refusal as application/problem+json."""
+    headers = {
+        "Dandelion-Outcome": outcome.value,
+        "Dandelion-Request-Id": request_id,
+    }
+    if retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(retry_after_s))
+    body = {
+        "title": title,
+        "status": status,
+        "outcome": outcome.value,
+        "request_id": request_id,
+    }
+    return json(
+        body, status=status, headers=headers, content_type="application/problem+json"
+    )
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -4,16 +4,12 @@
 import contextlib
 import hashlib
 import logging
-import math
 import random
 import uuid
 
-from sanic import Sanic
 from sanic.compat import Header
 from sanic.exceptions import PayloadTooLarge, SanicException
-from sanic.http import Stage
 from sanic.response import HTTPResponse, json
-from sanic.server import HttpProtocol
 
 from dandelionarch.core.ingress import (
     RETRY_AFTER_MIN_S,
@@ -28,6 +24,7 @@
     BodyRest,
     CallerRequest,
 )
+from dandelionarch.daemon.caller_protocol import IngressApp, problem
 from dandelionarch.daemon.headers import end_to_end, from_wire, invalid_field
 from dandelionarch.errors import (
     BodyTooLargeError,
@@ -59,59 +56,6 @@
 STOP_POLL_S = 0.02
 
 
-class IngressProtocol(HttpProtocol):
-    """Connection of a caller, limited in number and in time for its headers."""
-
-    __slots__ = ()
-
-    def connection_made(self, transport):
-        if len(self.connections) >= self.app.ctx.max_connections:
-            event(log, "caller_refused", logging.WARNING, reason="connections")
-            transport.abort()
-            return
-        super().connection_made(transport)
-
-    def connection_lost(self, exc):
-        if self.transport is not None:
-            super().connection_lost(exc)
-
-    def data_received(self, data):
-        since = self._time
-        super().data_received(data)
-        if self.http is not None and self.http.stage is Stage.REQUEST:
-            # Headers that arrive byte by byte must not restart the timeout.
-            self._time = since
-
-
-class IngressApp(Sanic):
-    """Application without the signals of each request, which nothing receives."""
-
-    async def dispatch(self, event, **kwargs):
-        """Dispatch a signal unless it belongs to one request."""
-        if event.startswith("http."):
-            return None
-        return await super().dispatch(event, **kwargs)
-
-
-def problem(status, title, request_id, outcome=Outcome.NOT_RUN, retry_after_s=None):
-    """Return a refusal as application/problem+json."""
-    headers = {
-        "Dandelion-Outcome": outcome.value,
-        "Dandelion-Request-Id": request_id,
-    }
-    if retry_after_s is not None:
-        headers["Retry-After"] = str(math.ceil(retry_after_s))
-    body = {
-        "title": title,
-        "status": status,
-        "outcome": outcome.value,
-        "request_id": request_id,
-    }
-    return json(
-        body, status=status, headers=headers, content_type="application/problem+json"
-    )
-
-
 class IngressHttp:
     """The HTTP application that callers reach.
 
