Begin a part's task again when it fails

An exception in a long-running task ended it without a line in the log; the daemon went on without, for instance, its membership.

--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -38,6 +38,7 @@
 log = logging.getLogger(__name__)
 
 STOP_POLL_S = 0.02
+RESTART_DELAY_S = 1.0
 
 
 class ActiveConfig:
@@ -183,17 +184,17 @@
             with contextlib.suppress(ExceptionGroup):
                 await self.stop()
             raise ExceptionGroup("daemon could not start", errors)
-        for coro in (
-            self.streams.run(),
-            self.gossip.run(),
-            self.gossip.run_seeds(),
-            self._watch_endpoints(),
-            self.fleet.run(),
-            self.health.run(),
-            self.order_homes.run(),
-            self.limits.run(),
+        for run in (
+            self.streams.run,
+            self.gossip.run,
+            self.gossip.run_seeds,
+            self._watch_endpoints,
+            self.fleet.run,
+            self.health.run,
+            self.order_homes.run,
+            self.limits.run,
         ):
-            self._tasks.append(asyncio.create_task(coro))
+            self._tasks.append(asyncio.create_task(_supervise(run)))
 
     async def _serve(self, app, port, protocol=None):
         server = await app.create_server(
@@ -354,6 +355,21 @@
         return None if vm is None else (vm.host, vm.peer_port)
 
 
+async def _supervise(run):
+    """Run a part's task until cancelled; begin it again if it fails.
+
+    Without this a fault in one part would end its task for good, and the daemon
+    would go on without, say, its membership.
+    """
+    while True:
+        try:
+            await run()
+            return
+        except Exception:
+            log.exception("task_failed", extra={"task": run.__qualname__})
+        await asyncio.sleep(RESTART_DELAY_S)
+
+
 async def _run_steps(steps, error):
     """Await every step and return the failures, each as an `error`."""
     errors = []
