Try appends of claims again after an outage

Cause: with two failed appends a partition's home counted as unavailable, and as no claim was then appended, nothing ever reset the count: own keys stayed unknown until some outcome happened to be appended. A claim is now let through once a second. The new test fails without the change.

--- a/dandelionarch/daemon/order_home.py
+++ b/dandelionarch/daemon/order_home.py
@@ -41,6 +41,7 @@
 # The second in rank follows as well, so that it can take over at once.
 HOMES_PER_PARTITION = 2
 RECENT_ANSWERS = 1000
+PROBE_PERIOD_S = 1.0
 
 
 class PartitionHome:
@@ -55,6 +56,7 @@
         self._caught_up = False
         self._available = True
         self._failed_appends = 0
+        self._probe_at = 0.0
         self._changed = asyncio.Condition()
         self._work = asyncio.Event()
         self._tasks = [
@@ -97,7 +99,7 @@
             return verdict if self._answer(holder) is None else ClaimVerdict.RAN
         if verdict is not None:
             return verdict
-        if not self._available:
+        if not self._available and asyncio.get_running_loop().time() < self._probe_at:
             return ClaimVerdict.UNAVAILABLE
         if self._caught_up:
             self.batch.add(claim)
@@ -191,6 +193,8 @@
                 async with asyncio.timeout(LOG_TIMEOUT_S):
                     await self._client.append(self.fold.stream, encode_items(items))
                 self._failed_appends = 0
+                if not self._available:
+                    await self._set_available(True)
             except (PlatformError, TimeoutError) as exc:
                 self._failed_appends += 1
                 event(
@@ -206,6 +210,9 @@
                     await self._set_available(False)
 
     async def _set_available(self, available):
+        if not available:
+            # Claims that come later are tried again, to find the log back.
+            self._probe_at = asyncio.get_running_loop().time() + PROBE_PERIOD_S
         if available != self._available:
             self._available = available
             event(log, "order_log", stream=self.fold.stream, available=available)
--- /dev/null
+++ b/tests/test_order_home.py
@@ -0,0 +1,57 @@
+"""The home of a partition of orders."""
+
+import asyncio
+
+from dandelionarch.core.messages.streams import LogEntry
+from dandelionarch.core.orders import Claim, ClaimVerdict
+from dandelionarch.daemon import order_home
+from dandelionarch.daemon.order_home import PartitionHome
+from dandelionarch.errors import PlatformUnavailableError
+
+
+class FakeLog:
+    """A log whose appends can fail while its reads work."""
+
+    def __init__(self):
+        self.records = []
+        self.broken = False
+
+    async def append(self, stream, data):
+        """Append a record unless the log is broken."""
+        if self.broken:
+            raise PlatformUnavailableError("broken")
+        self.records.append(data)
+
+    async def read(self, stream, start, limit=1000, wait_ms=0):
+        """Return the records from `start` on."""
+        await asyncio.sleep(0.005)
+        return [
+            LogEntry(start + i, 0.0, data)
+            for i, data in enumerate(self.records[start:])
+        ]
+
+
+class TestPartitionHome:
+    """Claims are answered at once in an outage, and granted after it."""
+
+    def test_appends_are_tried_again_after_an_outage(self, monkeypatch):
+        """Guards against a home that stays unavailable because nothing is appended."""
+        monkeypatch.setattr(order_home, "PROBE_PERIOD_S", 0.05)
+        asyncio.run(self._outage())
+
+    async def _outage(self):
+        log = FakeLog()
+        home = PartitionHome(0, log, 3600.0)
+        try:
+            assert await self._claim(home, "01") is ClaimVerdict.GRANTED
+            log.broken = True
+            assert await self._claim(home, "02") is ClaimVerdict.UNAVAILABLE
+            log.broken = False
+            await asyncio.sleep(0.1)
+            assert await self._claim(home, "03") is ClaimVerdict.GRANTED
+        finally:
+            await home.stop()
+
+    async def _claim(self, home, number):
+        verdict, _ = await home.claim(Claim(number, "bb", number, "vm-1", 1), 5.0)
+        return verdict
