Count an append as done when the log shows it

Two lost replies in a row made a partition's home count as unavailable although the log showed the claims; orders were answered unknown. Reading a claim back now resets the count. The new test fails without it.

--- a/dandelionarch/core/orders.py
+++ b/dandelionarch/core/orders.py
@@ -305,8 +305,8 @@
         self._waiting[type(item), item.claim_id] = item
 
     def seen(self, item):
-        """Drop an item that the log has shown."""
-        self._waiting.pop((type(item), item.claim_id), None)
+        """Drop an item that the log has shown; return True if it was waiting."""
+        return self._waiting.pop((type(item), item.claim_id), None) is not None
 
     def drop_claim(self, claim_id):
         """Drop a claim whose owner no longer waits."""
--- a/dandelionarch/daemon/order_home.py
+++ b/dandelionarch/daemon/order_home.py
@@ -167,7 +167,9 @@
             self._next = record.offset + 1
             whole = Record(record.offset, record.time_s, RecordId(""), record.data)
             for item in self.fold.apply(whole):
-                self.batch.seen(item)
+                if self.batch.seen(item):
+                    # Its append took effect, so only the reply was lost.
+                    self._failed_appends = 0
                 if isinstance(item, Ran):
                     self._keep_answer(item)
         # A short reply shows that everything before it has been read.
--- a/tests/test_order_home.py
+++ b/tests/test_order_home.py
@@ -15,12 +15,15 @@
     def __init__(self):
         self.records = []
         self.broken = False
+        self.replies = True
 
     async def append(self, stream, data):
         """Append a record unless the log is broken."""
         if self.broken:
             raise PlatformUnavailableError("broken")
         self.records.append(data)
+        if not self.replies:
+            raise PlatformUnavailableError("reply lost")
 
     async def read(self, stream, start, limit=1000, wait_ms=0):
         """Return the records from `start` on."""
@@ -52,6 +55,21 @@
         finally:
             await home.stop()
 
+    def test_lost_replies_are_no_outage(self):
+        """Guards against refusing orders whose claims the log shows."""
+        asyncio.run(self._lost_replies())
+
+    async def _lost_replies(self):
+        log = FakeLog()
+        log.replies = False
+        home = PartitionHome(0, log, 3600.0)
+        try:
+            for number in ("01", "02", "03", "04", "05"):
+                assert await self._claim(home, number) is ClaimVerdict.GRANTED
+            assert home._failed_appends < order_home.FAILED_APPENDS_FOR_OUTAGE
+        finally:
+            await home.stop()
+
     async def _claim(self, home, number):
         verdict, _ = await home.claim(Claim(number, "bb", number, "vm-1", 1), 5.0)
         return verdict
