Keep order partitions going past large batches, gaps and foreign records

Found by reading: a batch of 500 outcomes with answers of 2 KiB exceeds the 256 KiB that the log accepts, and would have been tried for ever; a failed read right after a gap in the log ended the follower's task; so did a record that can't be read. Batches are bounded by bytes, stored header fields by 2 KiB, a gap is noted with the next records, and a foreign record has no items. Each new test fails without its part (the batch bound, the reading of the gap, the handling of foreign records).

--- a/dandelionarch/core/orders.py
+++ b/dandelionarch/core/orders.py
@@ -16,7 +16,12 @@
 DIGEST_SIZE = 16
 DEFAULT_WINDOW_S = 3600.0
 MAX_STORED_ANSWER_BYTES = 2048
+# Bound on the header fields that are stored with an answer, names and values.
+MAX_STORED_HEADER_BYTES = 2048
 WINDOW_SLICES = 8
+# Well below the 256 KiB that the log accepts, as sizes are estimated.
+MAX_BATCH_BYTES = 128 << 10
+ITEM_BYTES = 200
 
 
 class OrderState(Enum):
@@ -168,6 +173,14 @@
         yield _DECODERS[kind](*values)
 
 
+def _size(item):
+    """Return about how many bytes an item takes in a record."""
+    if not isinstance(item, Ran):
+        return ITEM_BYTES
+    fields = sum(len(name) + len(value) for name, value in item.answer.headers)
+    return ITEM_BYTES + 2 * fields + 2 * len(item.answer.body or b"")
+
+
 def _encode(item):
     if isinstance(item, Claim):
         return ["c", item.key, item.body, item.claim_id, item.vm_id, item.incarnation]
@@ -215,10 +228,13 @@
         self._gap_end_s = time_s
 
     def apply(self, record):
-        """Fold a record and return its items."""
+        """Fold a record and return its items; one that can't be read has none."""
         self._entries.expire(record.time_s)
         self._abandoned.expire(record.time_s)
-        items = list(decode_items(record.data))
+        try:
+            items = list(decode_items(record.data))
+        except (ValueError, KeyError, TypeError):
+            return []
         for item in items:
             if isinstance(item, Claim):
                 self._apply_claim(item, record.time_s)
@@ -322,7 +338,13 @@
         if not self._waiting or now < self._next_append:
             return []
         self._next_append = now + self.period_s
-        return list(self._waiting.values())[: self.max_items]
+        items, size = [], 0
+        for item in self._waiting.values():
+            size += _size(item)
+            if items and (size > MAX_BATCH_BYTES or len(items) == self.max_items):
+                break
+            items.append(item)
+        return items
 
     def retry_after(self, now, delay_s):
         """Hold the next append back after a failed one."""
--- a/dandelionarch/daemon/order_home.py
+++ b/dandelionarch/daemon/order_home.py
@@ -53,6 +53,7 @@
         self._client = client
         self._answers = OrderedDict()
         self._next = 0
+        self._gap = False
         self._caught_up = False
         self._available = True
         self._failed_appends = 0
@@ -81,7 +82,7 @@
                 if verdict is ClaimVerdict.RAN:
                     return await self._with_answer(claim)
         except TimeoutError:
-            pass
+            self.fold.history_lost(records[0].time_s)
         finally:
             self.batch.drop_claim(claim.claim_id)
         return verdict or ClaimVerdict.UNAVAILABLE, None
@@ -145,24 +146,22 @@
                         limit=READ_LIMIT,
                         wait_ms=READ_WAIT_MS if self._caught_up else 0,
                     )
+                await self._apply(records)
             except OffsetTruncatedError as exc:
-                await self._skip_to(exc.first_offset)
-                continue
+                self._skip_to(exc.first_offset)
             except (PlatformError, TimeoutError):
                 await self._set_available(False)
                 await asyncio.sleep(RETRY_DELAY_S)
-                continue
-            await self._apply(records)
 
-    async def _skip_to(self, first_offset):
+    def _skip_to(self, first_offset):
         """Continue after a gap that retention has left in the history."""
-        if self._next > 0:
-            records = await self._client.read(self.fold.stream, first_offset, limit=1)
-            if records:
-                self.fold.history_lost(records[0].time_s)
+        self._gap = self._next > 0
         self._next = first_offset
 
     async def _apply(self, records):
+        if records and self._gap:
+            self._gap = False
+            self.fold.history_lost(records[0].time_s)
         for record in records:
             self._next = record.offset + 1
             whole = Record(record.offset, record.time_s, RecordId(""), record.data)
--- a/dandelionarch/daemon/orders.py
+++ b/dandelionarch/daemon/orders.py
@@ -11,6 +11,7 @@
 from dandelionarch.core.messages.request import Header
 from dandelionarch.core.orders import (
     MAX_STORED_ANSWER_BYTES,
+    MAX_STORED_HEADER_BYTES,
     ClaimVerdict,
     body_digest,
     key_digest,
@@ -195,7 +196,11 @@
         body = result.body if result.whole else None
         if body is not None and len(body) > MAX_STORED_ANSWER_BYTES:
             body = None
-        await self._tell(ticket, True, result.status, result.headers, body)
+        headers = result.headers
+        if sum(len(h.name) + len(h.value) for h in headers) > MAX_STORED_HEADER_BYTES:
+            # Without all of its fields it would not be the whole answer.
+            headers, body = (), None
+        await self._tell(ticket, True, result.status, headers, body)
 
     async def _tell(self, ticket, ran, status=0, headers=(), body=None):
         query = ticket.query
--- a/tests/test_order_home.py
+++ b/tests/test_order_home.py
@@ -6,7 +6,7 @@
 from dandelionarch.core.orders import Claim, ClaimVerdict
 from dandelionarch.daemon import order_home
 from dandelionarch.daemon.order_home import PartitionHome
-from dandelionarch.errors import PlatformUnavailableError
+from dandelionarch.errors import OffsetTruncatedError, PlatformUnavailableError
 
 
 class FakeLog:
@@ -14,6 +14,7 @@
 
     def __init__(self):
         self.records = []
+        self.first = 0
         self.broken = False
         self.replies = True
 
@@ -28,6 +29,8 @@
     async def read(self, stream, start, limit=1000, wait_ms=0):
         """Return the records from `start` on."""
         await asyncio.sleep(0.005)
+        if start < self.first:
+            raise OffsetTruncatedError(self.first)
         return [
             LogEntry(start + i, 0.0, data)
             for i, data in enumerate(self.records[start:])
@@ -70,6 +73,21 @@
         finally:
             await home.stop()
 
+    def test_gap_in_the_log_gives_no_grant(self):
+        """Guards against granting a key whose first claim was truncated unread."""
+        asyncio.run(self._gap())
+
+    async def _gap(self):
+        log = FakeLog()
+        home = PartitionHome(0, log, 3600.0)
+        try:
+            assert await self._claim(home, "01") is ClaimVerdict.GRANTED
+            log.records += [b"[]"] * 5
+            log.first = 5
+            assert await self._claim(home, "02") is ClaimVerdict.UNAVAILABLE
+        finally:
+            await home.stop()
+
     async def _claim(self, home, number):
         verdict, _ = await home.claim(Claim(number, "bb", number, "vm-1", 1), 5.0)
         return verdict
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -108,6 +108,13 @@
         fold.apply(Record(8, 151.0, "", encode_items([later])))
         assert fold.verdict(later) is ClaimVerdict.GRANTED
 
+    def test_record_that_cannot_be_read_is_passed_over(self):
+        """Guards against a home that stops at a foreign record."""
+        fold = fold_of((0, [claim("1")]))
+        assert fold.apply(Record(1, 1.0, "", b"not json")) == []
+        assert fold.apply(Record(2, 1.0, "", b'[["?", 1]]')) == []
+        assert fold.verdict(claim("1")) is ClaimVerdict.GRANTED
+
     def test_memory_is_bounded_by_the_window(self):
         """Guards against keys that are kept for ever."""
         fold = fold_of(
@@ -157,6 +164,19 @@
         assert batch.due(1.04) == []
         assert len(batch.due(1.06)) == 2
 
+    def test_record_stays_below_the_logs_limit(self):
+        """Guards against a batch that the log refuses for ever."""
+        batch, largest = ClaimBatch(), StoredAnswer(200, (), b"x" * 2048)
+        for number in range(500):
+            batch.add(Ran(digest("k"), f"{number:032x}", largest))
+        appends = 0
+        while items := batch.due(1e6 + appends):
+            assert len(encode_items(items)) < 256 << 10
+            for item in items:
+                batch.seen(item)
+            appends += 1
+        assert appends > 1
+
     def test_items_wait_until_the_log_shows_them(self):
         """Guards against an outcome that a failed append has lost."""
         batch = ClaimBatch()
