--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -233,12 +233,15 @@
             return None
         self._log_decision(work, command)
         endpoint = command.endpoint
+        stream = None
         try:
             if not self._network.is_up(endpoint.vm_id):
                 return None
             stream = self._open(endpoint, await self._network.link(endpoint.vm_id))
             self._send_request(stream, work, req, life.deadline - loop.time(), True)
         except LinkError:
+            if stream is not None:
+                self.close(stream, cancel=False)
             return None
         return stream
 
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -10,6 +10,7 @@
 from dandelionarch.core.outcome import Outcome
 from dandelionarch.core.world import Endpoint, Vm
 from dandelionarch.daemon.ingress import Ingress
+from dandelionarch.errors import LinkDownError
 
 
 def work(idempotent=True):
@@ -114,6 +115,25 @@
         assert not any(isinstance(msg, msgs.Cancel) for msg in second.sent)
         assert network.open == 0
 
+    def test_second_attempt_that_can_not_be_sent_is_forgotten(self):
+        """Guards against an endpoint that counts as loaded for ever."""
+
+        def reply(link, head):
+            network.heads.append(link)
+            if len(network.heads) == 2:
+                raise LinkDownError("lost")
+            loop = asyncio.get_running_loop()
+            answered = network.handlers[msgs.ResponseHead]
+            loop.call_later(0.05, answered, link, self._answer(head))
+            return None
+
+        network = FakeNetwork()
+        network.reply = reply
+        answer = asyncio.run(self._run(network))
+        assert answer.body == b"done"
+        assert len(network.heads) == 2
+        assert network.open == 0
+
     def test_failure_beside_a_refusal_is_unknown(self):
         """Guards `not-run` against the other attempt, which may have run."""
 
