--- a/dandelionarch/daemon/order_home.py
+++ b/dandelionarch/daemon/order_home.py
@@ -82,7 +82,7 @@
                 if verdict is ClaimVerdict.RAN:
                     return await self._with_answer(claim)
         except TimeoutError:
-            self.fold.history_lost(records[0].time_s)
+            pass
         finally:
             self.batch.drop_claim(claim.claim_id)
         return verdict or ClaimVerdict.UNAVAILABLE, None
