--- a/tests/test_limit_processes.py
+++ b/tests/test_limit_processes.py
@@ -4,22 +4,13 @@
 from collections import Counter
 
 import aiohttp
-import pytest
 
-from tests.support.fleet import ALLOWANCES, CUSTOMER_KEY, Fleet
+from tests.support.fleet import ALLOWANCES, CUSTOMER_KEY
 
 AUTH = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
 FEW = ALLOWANCES.replace("rate = 1000", "rate = 2").replace("burst = 1000", "burst = 8")
 
 
-@pytest.fixture
-def fleet(tmp_path):
-    """Return a fleet whose processes end with the test."""
-    fleet = Fleet(tmp_path)
-    yield fleet
-    fleet.stop()
-
-
 class TestLimitsOverTheFleet:
     """Two daemons, one of them the home of the customer's limit."""
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -3,21 +3,12 @@
 import asyncio
 
 import aiohttp
-import pytest
 
-from tests.support.fleet import CUSTOMER_KEY, Fleet
+from tests.support.fleet import CUSTOMER_KEY
 
 AUTH = {"Authorization": f"Bearer {CUSTOMER_KEY}"}
 
 
-@pytest.fixture
-def fleet(tmp_path):
-    """Return a fleet whose processes end with the test."""
-    fleet = Fleet(tmp_path)
-    yield fleet
-    fleet.stop()
-
-
 class TestRequestPath:
     """Caller, ingress, agent and worker are processes of their own."""
 
