--- a/dandelionarch/measure/baselines.py
+++ b/dandelionarch/measure/baselines.py
@@ -1,30 +1,11 @@
-"""Baselines that the measurements compare with."""
+"""Ejection by each ingress alone, a baseline of the measurements."""
 
-from dandelionarch.core.selection import Policy
 from dandelionarch.measure.options import OpenFilter
 
 FIXED_COUNT = 5
 FIXED_HOLD_S = 30.0
 
 
-class RandomChoice(Policy):
-    """Any candidate with equal probability."""
-
-    def choose(self, candidates, rng):
-        return rng.choice(candidates)
-
-
-class RoundRobin(Policy):
-    """One candidate after another."""
-
-    def __init__(self):
-        self._turn = 0
-
-    def choose(self, candidates, rng):
-        self._turn += 1
-        return candidates[self._turn % len(candidates)]
-
-
 class FixedCount(OpenFilter):
     """Baseline: an ingress ejects for 30 s after 5 failures in a row.
 
--- a/dandelionarch/measure/programs.py
+++ b/dandelionarch/measure/programs.py
@@ -10,10 +10,6 @@
 import urllib.request
 from pathlib import Path
 
-from dandelionarch.measure.processes import free_ports
-
-__all__ = ["free_ports"]
-
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
 SHARED_KEY = "key of the measured fleet"
--- a/dandelionarch/measure/scenarios.py
+++ b/dandelionarch/measure/scenarios.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from dandelionarch.core.selection import TwoChoices
+from dandelionarch.core.selection import RandomChoice, RoundRobin, TwoChoices
 from dandelionarch.core.world import Health
-from dandelionarch.measure.baselines import FixedCount, RandomChoice, RoundRobin
+from dandelionarch.measure.baselines import FixedCount
 from dandelionarch.measure.judging import AgentHealth, FleetLog
 from dandelionarch.measure.model import Model
 from dandelionarch.measure.options import Options, crest, steady
--- a/dandelionarch/measure/speed.py
+++ b/dandelionarch/measure/speed.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from dandelionarch.measure import programs as procs
+from dandelionarch.measure.processes import DAEMON_SETTINGS, free_ports
 
 NAME = "speed"
 HELP = "latency added by the two hops, highest rate, memory and processor time"
@@ -18,21 +19,7 @@
 HIGHEST_TRIED_RATE = 8000
 SERVICES = ("one", "two")
 
-DAEMON = """\
-[daemon]
-vm = {vm}
-data_centre = dc
-ingress_port = {ingress}
-peer_port = {peer}
-gossip_port = {gossip}
-admin_port = {admin}
-seeds = {seeds}
-shared_key = {key}
-log_url = {log}
-
-[logs]
-level = {level}
-"""
+LOGS = "\n[logs]\nlevel = {level}\n"
 
 ROUTES = """\
 [service {service}]
@@ -67,10 +54,10 @@
     def __init__(self, programs, work_ms, level):
         self._programs = programs
         self._level = level
-        self._log_port = procs.free_ports(1)[0]
+        self._log_port = free_ports(1)[0]
         self.log_url = f"http://127.0.0.1:{self._log_port}"
         programs.start("standin", "log", "--port", str(self._log_port))
-        self.ports = [procs.free_ports(4) for _ in SERVICES]
+        self.ports = [free_ports(4) for _ in SERVICES]
         self.daemons = [self._start_daemon(i) for i in range(len(SERVICES))]
         self.workers = [self._start_worker(i, work_ms) for i in range(len(SERVICES))]
         self._publish()
@@ -79,17 +66,18 @@
     def _start_daemon(self, i):
         ingress, peer, gossip, admin = self.ports[i]
         seed = f"127.0.0.1:{self.ports[0][1]}" if i else ""
-        text = DAEMON.format(
+        text = DAEMON_SETTINGS.format(
             vm=f"vm-{i}",
+            data_centre="dc",
             ingress=ingress,
             peer=peer,
             gossip=gossip,
             admin=admin,
             seeds=seed,
             key=procs.SHARED_KEY,
-            log=self.log_url,
-            level=self._level,
+            log=self._log_port,
         )
+        text += LOGS.format(level=self._level)
         process = self._programs.start(
             "daemon", self._programs.write(f"vm-{i}.ini", text)
         )
@@ -98,7 +86,7 @@
 
     def _start_worker(self, i, work_ms):
         """Start the worker of service `i` beside the other daemon."""
-        port = procs.free_ports(1)[0]
+        port = free_ports(1)[0]
         admin = self.ports[1 - i][3]
         options = {
             "port": port,
