Remove names that nothing uses, and one copy of a message by hand

An empty reply of the log to the look-up of a stored answer no longer ends in an index error. Behaviour is otherwise unchanged.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -8,22 +8,6 @@
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_SPREAD_S = 2.0
 
-# The request cannot have reached an endpoint when these are the cause.
-PROVEN_NOT_RUN = frozenset(
-    {
-        Reason.NO_ENDPOINT,
-        Reason.LINK_DOWN,
-        Reason.BUSY,
-        Reason.QUEUE_FULL,
-        Reason.TOO_LATE,
-        Reason.DRAINING,
-        Reason.EJECTED,
-        Reason.UNKNOWN_ENDPOINT,
-        Reason.WORKER_REFUSED,
-        Reason.WORKER_UNREACHABLE,
-        Reason.STOPPING,
-    }
-)
 
 # The connection failed, not the endpoint: the same endpoint may be tried again.
 LINK_FAULTS = frozenset({Reason.LINK_LOST, Reason.WORKER_LINK})
--- a/dandelionarch/daemon/order_home.py
+++ b/dandelionarch/daemon/order_home.py
@@ -125,7 +125,7 @@
                 records = await self._client.read(self.fold.stream, offset, limit=1)
             except PlatformError:
                 return ClaimVerdict.UNAVAILABLE, None
-            for item in decode_items(records[0].data):
+            for item in (i for r in records for i in decode_items(r.data)):
                 if isinstance(item, Ran) and item.claim_id == claim_id:
                     answer = item.answer
         return ClaimVerdict.RAN, answer
--- a/dandelionarch/daemon/orders.py
+++ b/dandelionarch/daemon/orders.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import uuid
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from dandelionarch.core.ingress import Refuse
 from dandelionarch.core.issued_keys import IssuedKey
@@ -172,7 +172,8 @@
             left_s = deadline - loop.time()
             if left_s <= 0:
                 break
-            query = _with_wait(ticket.query, left_s)
+            wait_ms = max(1, int(left_s * 1000))
+            query = replace(ticket.query, wait_ms=wait_ms)
             try:
                 reply = await self._network.ask(vm_id, query, left_s + REPLY_GRACE_S)
             except LinkError as exc:
@@ -233,15 +234,3 @@
 
     def _refusal(self, outcome, reason):
         return Refuse(outcome, reason, self._ingress.retry_after_s())
-
-
-def _with_wait(query, wait_s):
-    return msgs.ClaimQuery(
-        query.key,
-        query.body,
-        query.claim_id,
-        query.vm_id,
-        query.incarnation,
-        query.sequence,
-        max(1, int(wait_s * 1000)),
-    )
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -108,22 +108,10 @@
         super().__init__(f"offset truncated; first retained offset is {first_offset}")
 
 
-class UnknownCustomerError(DandelionError):
-    """The bearer key belongs to no customer."""
-
-
-class UnknownRouteError(DandelionError):
-    """No route matches the request's method and path."""
-
-
 class BodyTooLargeError(DandelionError):
     """A body exceeds the size limit."""
 
 
-class NotReadyError(DandelionError):
-    """The daemon has no accepted configuration yet."""
-
-
 class StreamError(DandelionError):
     """A stream of the log or a copy of it can't be used."""
 
