--- /dev/null
+++ b/dandelionarch/core/endpoint_reports.py
@@ -0,0 +1,106 @@
+"""What endpoints report of themselves to the daemon of their VM."""
+
+from dataclasses import dataclass
+
+from dandelionarch.core.world import Endpoint, EndpointState
+from dandelionarch.ids import EndpointId, Incarnation, ServiceName, VmId
+
+# Endpoints that left and may still be named by a report that was delayed.
+LEFT_REMEMBERED = 64
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointReport:
+    """One report of an endpoint.
+
+    `incarnation` is the millisecond of the endpoint's start, `sequence` counts its
+    reports; `warm_up_s` is for how much longer it is slow after its start.
+    """
+
+    endpoint_id: EndpointId
+    service: ServiceName
+    host: str
+    port: int
+    slots: int
+    incarnation: Incarnation
+    sequence: int
+    state: EndpointState
+    warm_up_s: float = 0.0
+
+
+class EndpointReports:
+    """Turns reports, which may be late or out of order, into endpoints.
+
+    An address belongs to the endpoint that started last there. An endpoint that has
+    said that it leaves stays so until it starts again.
+
+    Parameters
+    ----------
+    vm_id : VmId
+    max_connections : callable
+        `max_connections(service)` returns how many connections an endpoint accepts.
+    """
+
+    def __init__(self, vm_id: VmId, max_connections):
+        self._vm_id = vm_id
+        self._max_connections = max_connections
+        self._latest = {}
+        self._left = {}
+
+    def accept(self, report):
+        """Return the endpoints that the report changes, most often one or none."""
+        address = (report.host, report.port)
+        latest = self._latest.get(address)
+        if latest is not None and not _supersedes(report, latest):
+            return []
+        self._latest[address] = report
+        changed = []
+        if latest is not None and latest.endpoint_id != report.endpoint_id:
+            changed.append(self._endpoint(latest, EndpointState.GONE))
+        return [*changed, self._endpoint(report, self._state(report))]
+
+    def leave(self, endpoint_id, now_ms):
+        """Return the endpoint with this id as draining, or None if unknown.
+
+        `now_ms` bounds the start of an endpoint of which no report has come yet.
+        """
+        for report in self._latest.values():
+            if report.endpoint_id == endpoint_id:
+                self._remember_left(endpoint_id, report.incarnation)
+                return self._endpoint(report, EndpointState.DRAINING)
+        self._remember_left(endpoint_id, now_ms)
+        return None
+
+    def _state(self, report):
+        if report.state is EndpointState.DRAINING:
+            self._remember_left(report.endpoint_id, report.incarnation)
+        if report.incarnation <= self._left.get(report.endpoint_id, -1):
+            return EndpointState.DRAINING
+        return report.state
+
+    def _remember_left(self, endpoint_id, incarnation):
+        self._left[endpoint_id] = incarnation
+        while len(self._left) > LEFT_REMEMBERED:
+            del self._left[next(iter(self._left))]
+
+    def _endpoint(self, report, state):
+        return Endpoint(
+            report.endpoint_id,
+            self._vm_id,
+            report.service,
+            report.host,
+            report.port,
+            report.slots,
+            self._max_connections(report.service),
+            report.incarnation,
+            state,
+        )
+
+
+def _supersedes(report, latest):
+    """Return True if a report is newer than the last one from its address."""
+    if report.incarnation != latest.incarnation:
+        return report.incarnation > latest.incarnation
+    if report.endpoint_id != latest.endpoint_id:
+        return True
+    return report.sequence > latest.sequence
--- /dev/null
+++ b/dandelionarch/core/gate.py
@@ -0,0 +1,102 @@
+"""Gate in front of one endpoint: closes on first failures, opens after trials.
+
+The agent alone reaches its endpoint, so its own last few outcomes are the first
+evidence there is. A closed gate proves to the ingress that a request was not run,
+which costs a redirect; an open one in front of a failing endpoint costs the outcome
+of work that is not idempotent.
+"""
+
+from enum import Enum
+
+from dandelionarch.core.world import Health
+
+# An endpoint in a failing spell still serves some requests, so one success proves
+# little: at three failures in four, two in a row pass by chance once in 16 times.
+SUCCESSES_TO_OPEN = 2
+# Application errors are a normal small share of responses; two in a row are not.
+ERRORS_TO_CLOSE = 2
+TRIAL_INTERVAL_S = 0.25
+MAX_TRIAL_INTERVAL_S = 1.0
+# A service may have no idempotent requests at all; then other work is the only trial.
+ANY_TRIAL_AFTER_S = 5.0
+
+
+class RunResult(Enum):
+    """What the end of a run says of its endpoint."""
+
+    SERVED = "served"
+    APPLICATION_ERROR = "application_error"
+    BROKEN = "broken"
+    INCONCLUSIVE = "inconclusive"
+
+
+class EndpointGate:
+    """Decides which requests an endpoint gets, by its last runs.
+
+    Times are in seconds on one monotonic clock.
+    """
+
+    def __init__(self):
+        self._closed_at = None
+        self._successes = 0
+        self._errors = 0
+        self._trial_running = None
+        self._next_trial = 0.0
+        self._interval_s = TRIAL_INTERVAL_S
+        self._idempotent_seen = 0.0
+
+    @property
+    def health(self):
+        """Return `HEALTHY`, or `TRIAL` while the gate is closed."""
+        return Health.HEALTHY if self._closed_at is None else Health.TRIAL
+
+    def admits(self, idempotent, now):
+        """Return True if a request may go to the endpoint now."""
+        if self._closed_at is None:
+            return True
+        if idempotent:
+            self._idempotent_seen = now
+        if self._trial_running is not None or now < self._next_trial:
+            return False
+        waited_s = now - max(self._closed_at, self._idempotent_seen)
+        return idempotent or waited_s >= ANY_TRIAL_AFTER_S
+
+    def began(self, run, now):
+        """Take note that a request goes to the endpoint."""
+        if self._closed_at is not None and self._trial_running is None:
+            self._trial_running = run
+            self._next_trial = now + self._interval_s
+
+    def ended(self, run, result, now):
+        """Take note of the end of a run."""
+        trial = run is self._trial_running
+        if trial:
+            self._trial_running = None
+        if result is RunResult.SERVED:
+            self._served(trial)
+        elif result is RunResult.BROKEN:
+            self._close(now, trial)
+        elif result is RunResult.APPLICATION_ERROR:
+            self._errors += 1
+            if trial or self._errors >= ERRORS_TO_CLOSE:
+                self._close(now, trial)
+
+    def _served(self, trial):
+        self._errors = 0
+        if self._closed_at is None or not trial:
+            return
+        self._successes += 1
+        self._next_trial = 0.0
+        if self._successes >= SUCCESSES_TO_OPEN:
+            self._closed_at = None
+            self._interval_s = TRIAL_INTERVAL_S
+
+    def _close(self, now, trial):
+        self._successes = 0
+        if self._closed_at is None:
+            self._closed_at = now
+            self._interval_s = TRIAL_INTERVAL_S
+            self._idempotent_seen = now
+        elif trial:
+            self._interval_s = min(MAX_TRIAL_INTERVAL_S, 2 * self._interval_s)
+        self._next_trial = now + self._interval_s
--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -3,8 +3,10 @@
 from dataclasses import dataclass
 
 from dandelionarch.core.outcome import Outcome, Reason
+from dandelionarch.core.routes import DEFAULT_MAX_ATTEMPTS
 
-MAX_ATTEMPTS = 3
+# Refusals by agents cost a round trip between daemons and reach no endpoint.
+MAX_DISPATCHES = 8
 RETRY_AFTER_MIN_S = 1.0
 RETRY_AFTER_SPREAD_S = 2.0
 
@@ -24,6 +26,7 @@
     kind: str
     idempotent: bool
     priority: int
+    max_attempts: int = DEFAULT_MAX_ATTEMPTS
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +62,7 @@
     work : Work
         What the request asks for.
     choose : callable
-        `choose(service, tried)` returns a `Decision`.
+        `choose(work, tried)` returns a `Decision`.
     deadline : float
         Instant in seconds by which the request must have ended.
     rng : random.Random
@@ -90,6 +93,7 @@
         self.work = work
         self.deadline = deadline
         self.attempts = 0
+        self._reached = 0
         self.tried = set()
         self.finished = False
         self.answer = None
@@ -118,6 +122,8 @@
         """Handle a proof that the current attempt was not run."""
         self._sent = False
         self._least_s = retry_after_s
+        if reason is Reason.WORKER_REFUSED:
+            self._reached += 1
         if reason is Reason.BUSY and self._give_back is not None:
             self._give_back = None
             return self._dispatch(reason, now)
@@ -128,6 +134,7 @@
         """Handle an attempt that ended after the endpoint may have seen it."""
         self._sent = False
         self._may_have_run = True
+        self._reached += 1
         self._settle()
         if not self.work.idempotent or reason is Reason.DEADLINE:
             return self._refuse(reason)
@@ -142,13 +149,13 @@
         """
         if not self.work.idempotent or not self._replayable():
             return None
-        if now >= self.deadline or self.attempts >= MAX_ATTEMPTS:
+        if now >= self.deadline or self._exhausted(running=1):
             return None
         give_back = self._give_back or self._reserve()
         self._give_back = None
         if give_back is None:
             return None
-        decision = self._choose(self.work.service, frozenset(self.tried))
+        decision = self._choose(self.work, frozenset(self.tried))
         if decision.chosen is None:
             give_back()
             return None
@@ -160,6 +167,7 @@
     def one_failed(self):
         """Note that one of two attempts failed after it may have run."""
         self._may_have_run = True
+        self._reached += 1
 
     def answered(self):
         """Handle a whole answer."""
@@ -181,8 +189,13 @@
         """Handle the end of the time budget."""
         return self.abandoned(Reason.DEADLINE)
 
+    def _exhausted(self, running=0):
+        """Return True if no further attempt is allowed beside those that run."""
+        reached = self._reached + running
+        return reached >= self.work.max_attempts or self.attempts >= MAX_DISPATCHES
+
     def _again(self, reason, now, proven):
-        if now >= self.deadline or self.attempts >= MAX_ATTEMPTS:
+        if now >= self.deadline or self._exhausted():
             return self._refuse(reason)
         if not self._replayable():
             return self._refuse(reason)
@@ -191,9 +204,9 @@
         return self._dispatch(reason, now)
 
     def _dispatch(self, reason, now):
-        decision = self._choose(self.work.service, frozenset(self.tried))
+        decision = self._choose(self.work, frozenset(self.tried))
         if decision.chosen is None and reason is Reason.BUSY:
-            decision = self._choose(self.work.service, frozenset())
+            decision = self._choose(self.work, frozenset())
         if decision.chosen is None:
             return self._refuse(reason)
         if self.attempts == 0 and len(decision.candidates) > 1:
--- a/dandelionarch/core/lists.py
+++ b/dandelionarch/core/lists.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from dandelionarch.core.crests import CrestCalendar
+from dandelionarch.core.routes import Route, ServiceShare
 from dandelionarch.errors import ListError
 from dandelionarch.ids import CustomerId, RouteName, ServiceName
 
@@ -93,19 +94,6 @@
         return -(-announced * self.amount // 100)
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
-    """A route by which requests reach one kind of work of a service."""
-
-    name: RouteName
-    service: ServiceName
-    path: str
-    methods: frozenset
-    kind: str
-    idempotent: bool
-    budget_ms: int
-
-
 @dataclass(frozen=True)
 class Lists:
     """Both lists, parsed and checked.
@@ -128,35 +116,18 @@
         return Floor(int(text), "endpoints")
 
 
-class RouteTable:
-    """Finds the route of a method and path by its longest path prefix."""
-
-    def __init__(self, lists):
-        self._by_prefix = {}
-        for name, section in lists.routes.items():
-            methods = frozenset(m.strip() for m in section.methods.split(","))
-            route = Route(
-                RouteName(name),
-                ServiceName(section.service),
-                section.path,
-                methods,
-                section.kind,
-                section.idempotent,
-                section.budget_ms,
-            )
-            prefix = section.path.rstrip("/")
-            self._by_prefix.setdefault(prefix, []).append(route)
-
-    def find(self, method, path):
-        """Return the matching `Route` or None."""
-        prefix = path.rstrip("/")
-        while True:
-            for route in self._by_prefix.get(prefix, ()):
-                if method in route.methods:
-                    return route
-            if not prefix:
-                return None
-            prefix = prefix.rpartition("/")[0]
+def routes_of(lists):
+    """Yield the `Route` of each `[route]` section."""
+    for name, section in lists.routes.items():
+        yield Route(
+            RouteName(name),
+            (ServiceShare(ServiceName(section.service), 1),),
+            section.path,
+            frozenset(m.strip() for m in section.methods.split(",")),
+            section.kind,
+            section.idempotent,
+            section.budget_ms,
+        )
 
 
 class CustomerKeys:
--- /dev/null
+++ b/dandelionarch/core/messages/registry.py
@@ -0,0 +1,38 @@
+"""Entries of the registry, in which each daemon announces itself and its endpoints."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class RegisteredEndpoint:
+    """An endpoint beside a daemon as its daemon announces it."""
+
+    endpoint_id: str
+    service: str
+    host: str
+    port: int
+    slots: int
+    connections: int
+    incarnation: int
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class VmEntry:
+    """A daemon as it announces itself.
+
+    `incarnation` identifies the process, `edition` counts its changes to the entry.
+    """
+
+    vm_id: str
+    data_centre: str
+    region: str
+    host: str
+    peer_port: int
+    incarnation: int
+    edition: int
+    state: str
+    endpoints: tuple[RegisteredEndpoint, ...]
+
+
+MESSAGES = (VmEntry,)
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -57,6 +57,13 @@
     warmup: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoadNotice:
+    """Load of an endpoint, sent unasked when its health changes."""
+
+    load: LoadReport
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Start of an endpoint's answer; `data` is the first part of its body."""
@@ -145,4 +152,5 @@
     Leaving,
     Ping,
     Pong,
+    LoadNotice,
 )
--- /dev/null
+++ b/dandelionarch/core/routing_config.py
@@ -0,0 +1,61 @@
+"""Configuration that comes as a whole: routes, services and bounds for callers."""
+
+from dataclasses import dataclass
+
+from dandelionarch.core.routes import Route, RouteTable
+from dandelionarch.ids import Revision, ServiceName
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceOptions:
+    """What the operator states of a service's endpoints."""
+
+    health_path: str
+    max_connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerBounds:
+    """Sizes in bytes and times in seconds that callers have to keep."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True)
+class RoutingConfig:
+    """One revision of the configuration."""
+
+    revision: Revision
+    routes: tuple[Route, ...]
+    services: dict[ServiceName, ServiceOptions]
+    bounds: CallerBounds
+
+
+class ActiveRouting:
+    """The configuration in force with its lookup table; it never goes back."""
+
+    def __init__(self):
+        self.config = None
+        self.routes = None
+
+    @property
+    def revision(self):
+        """Return the revision in force, 0 while none is known."""
+        return self.config.revision if self.config is not None else Revision(0)
+
+    @property
+    def ready(self):
+        """Return True once a configuration is known."""
+        return self.config is not None
+
+    def use(self, config):
+        """Put a configuration in force; return False if it is not a newer one."""
+        if config.revision <= self.revision:
+            return False
+        if self.config is None or self.config.routes != config.routes:
+            self.routes = RouteTable(config.routes)
+        self.config = config
+        return True
--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -176,10 +176,10 @@
     return sum(values) / len(values)
 
 
-def healthy_first(candidates, drops, rng):
+def healthy_first(candidates, drops, rng, trial_share):
     """Prefer healthy endpoints; demoted ones take what these have no slot for.
 
-    A small share of requests goes to one demoted endpoint or one on trial.
+    The share `trial_share` of requests goes to one demoted endpoint or one on trial.
     """
     cands = list(candidates)
     weak = [c for c in cands if c.health in (Health.DEMOTED, Health.TRIAL)]
@@ -187,7 +187,7 @@
     demoted = [c for c in weak if c.health is Health.DEMOTED]
     if not weak:
         kept = fit
-    elif rng.random() < TRIAL_SHARE:
+    elif rng.random() < trial_share:
         kept = [rng.choice(weak)]
     elif any(c.load < FULL_LOAD for c in fit):
         kept = fit
@@ -253,10 +253,12 @@
     tried=frozenset(),
     floor_share=DEFAULT_FLOOR_SHARE,
     skip=frozenset(),
+    trial_share=TRIAL_SHARE,
 ):
     """Run the pipeline and return the `Decision`.
 
-    `skip` names stages that a measurement switches off.
+    `trial_share` is the share of requests that try unhealthy endpoints; `skip` names
+    stages that a measurement switches off.
     """
     decision = Decision()
     drops = decision.drops
@@ -269,7 +271,7 @@
     stream = not_ejected(stream, drops)
     if "not_full" not in skip:
         stream = not_full(stream, drops)
-    stream = healthy_first(stream, drops, rng)
+    stream = healthy_first(stream, drops, rng, trial_share)
     if "near_first" not in skip:
         stream = near_first(stream, drops)
     kept = list(stream)
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -12,8 +12,9 @@
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.selection import warmup_ramp
 from dandelionarch.core.world import EndpointState
+from dandelionarch.daemon.dialect import DandelionDialect
 from dandelionarch.daemon.headers import end_to_end
-from dandelionarch.daemon.workers import Call, WorkerPool, refused
+from dandelionarch.daemon.workers import Call, WorkerPool
 from dandelionarch.errors import (
     BrokenAnswerError,
     LinkError,
@@ -113,14 +114,15 @@
 class Agent:
     """Task that owns the connections to the endpoints of this VM."""
 
-    def __init__(self, network, directory, vm_id, watch):
+    def __init__(self, network, directory, vm_id, watch, dialect=None):
+        self._network = network
         self._directory = directory
         self._watch = watch
         watch.on_eject = self._refuse_waiting
         self._vm_id = vm_id
         self._local = {}
         self._runs = {}
-        self._workers = WorkerPool()
+        self._workers = WorkerPool(dialect or DandelionDialect())
         self.stopping = False
         network.subscribe(msgs.RequestHead, self._on_head)
         network.subscribe(msgs.RequestChunk, self._on_chunk)
@@ -132,6 +134,13 @@
         """Open the connection pool towards the endpoints."""
         await self._workers.start()
 
+    def announce_load(self, endpoint):
+        """Tell all peers of an endpoint whose health has changed."""
+        local = self._endpoint(endpoint.endpoint_id)
+        if local is None:
+            return
+        self._network.broadcast(msgs.LoadNotice(local.load()))
+
     async def stop(self):
         """Cancel what still runs and close the connection pool."""
         tasks = [run.task for run in self._runs.values()]
@@ -184,6 +193,8 @@
             return Reason.STOPPING
         if local is None:
             return Reason.UNKNOWN_ENDPOINT
+        if local.endpoint.service != head.service:
+            return Reason.UNKNOWN_ENDPOINT
         if local.endpoint.state not in (EndpointState.READY, EndpointState.STARTING):
             return Reason.DRAINING
         if not self._watch.admits(local.endpoint, head.idempotent):
@@ -327,34 +338,31 @@
         loop = asyncio.get_running_loop()
         data = head.data if head.last else run.body_chunks()
         budget_ms = max(1, int((deadline - loop.time()) * 1000))
-        resp = await self._workers.open(run.call, local.endpoint, head, data, budget_ms)
+        answer = await self._workers.open(
+            run.call, local.endpoint, head, data, budget_ms
+        )
         whole = False
         try:
-            if refused(resp):
+            if self._workers.refused(answer):
                 return Reason.WORKER_REFUSED
-            await self._relay_answer(run, local, resp)
+            await self._relay_answer(run, local, answer)
             whole = run.body_sent
             return None
         finally:
             # A connection is reused only after a complete exchange.
-            if whole:
-                resp.release()
-            else:
-                resp.close()
+            answer.end(reusable=whole)
 
-    async def _relay_answer(self, run, local, resp):
+    async def _relay_answer(self, run, local, answer):
         attempt_id = run.head.attempt_id
-        first = await resp.content.read(CHUNK_BYTES)
-        last = resp.content.at_eof()
-        self._watch.answered(local.endpoint, run, resp.status)
-        headers = end_to_end(resp.headers.items())
+        first, last = await answer.read(CHUNK_BYTES)
+        self._watch.answered(local.endpoint, run, answer.status)
+        headers = end_to_end(answer.headers.items())
         await run.send_part(
             msgs.ResponseHead(
-                attempt_id, resp.status, headers, first, last, local.load()
+                attempt_id, answer.status, headers, first, last, local.load()
             )
         )
         while not last:
-            data = await resp.content.read(CHUNK_BYTES)
-            last = resp.content.at_eof()
+            data, last = await answer.read(CHUNK_BYTES)
             await run.send_part(msgs.ResponseChunk(attempt_id, data, last))
         run.answered = True
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -12,12 +12,14 @@
 from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Verdict
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.issued_keys import KeyIssuer
-from dandelionarch.core.lists import CustomerKeys, RouteTable
+from dandelionarch.core.lists import CustomerKeys, routes_of
 from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.routes import RouteTable
 from dandelionarch.core.world import EndpointState, Vm
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
-from dandelionarch.daemon.caller_protocol import IngressProtocol
+from dandelionarch.daemon.caller_connections import IngressProtocol
+from dandelionarch.daemon.callers import DandelionCallers
 from dandelionarch.daemon.fleet import FleetService
 from dandelionarch.daemon.gossip import Gossip
 from dandelionarch.daemon.health import HealthWatch
@@ -49,11 +51,16 @@
         self.routes = None
         self.keys = None
 
+    @property
+    def ready(self):
+        """Return True once lists are in force."""
+        return self.lists is not None
+
     def use(self, lists):
         """Put new lists in force; tables of unchanged kinds are kept."""
         old = self.lists
         if old is None or old.routes is not lists.routes:
-            self.routes = RouteTable(lists)
+            self.routes = RouteTable(routes_of(lists))
         if old is None or old.customers is not lists.customers:
             self.keys = CustomerKeys(lists)
         self.lists = lists
@@ -123,11 +130,12 @@
         self.ingress.on_load = self.limits.load_told
         self.http = IngressHttp(
             self.ingress,
-            self.orders,
-            self.limits,
+            DandelionCallers(self.active, self.orders),
             self.active,
             settings.limits,
-            self.metrics,
+            limits=self.limits,
+            orders=self.orders,
+            metrics=self.metrics,
         )
         self.admin = Admin(self)
         self.gossip = Gossip(
--- a/dandelionarch/daemon/caller_protocol.py
+++ b/dandelionarch/daemon/caller_connections.py
@@ -1,14 +1,11 @@
-"""Connections of callers, and the form of what they are refused with."""
+"""Connections of callers to the HTTP application of an ingress."""
 
 import logging
-import math
 
 from sanic import Sanic
 from sanic.http import Stage
-from sanic.response import json
 from sanic.server import HttpProtocol
 
-from dandelionarch.core.outcome import Outcome
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
@@ -46,22 +43,3 @@
         if event.startswith("http."):
             return None
         return await super().dispatch(event, **kwargs)
-
-
-def problem(status, title, request_id, outcome=Outcome.NOT_RUN, retry_after_s=None):
-    """Return a refusal as application/problem+json."""
-    headers = {
-        "Dandelion-Outcome": outcome.value,
-        "Dandelion-Request-Id": request_id,
-    }
-    if retry_after_s is not None:
-        headers["Retry-After"] = str(math.ceil(retry_after_s))
-    body = {
-        "title": title,
-        "status": status,
-        "outcome": outcome.value,
-        "request_id": request_id,
-    }
-    return json(
-        body, status=status, headers=headers, content_type="application/problem+json"
-    )
--- a/dandelionarch/daemon/health.py
+++ b/dandelionarch/daemon/health.py
@@ -14,6 +14,7 @@
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.selection import warmup_ramp
 from dandelionarch.core.world import EndpointState
+from dandelionarch.daemon.watch import SERVER_ERROR, Watch
 from dandelionarch.errors import LinkError, PlatformError
 from dandelionarch.logs import event
 
@@ -22,7 +23,6 @@
 TICK_S = 0.1
 QUERY_TIMEOUT_S = 0.5
 RELEASE_RETRY_S = 1.0
-SERVER_ERROR = 500
 # The endpoint sheds load, or the time budget it was given has lapsed.
 STATUS_ENDS = {503: RunEnd.REFUSED, 504: RunEnd.CUT_SHORT}
 
@@ -38,7 +38,7 @@
 LATE_FAILURES = (Reason.TRUNCATED, Reason.WORKER_FAILED)
 
 
-class HealthWatch:
+class HealthWatch(Watch):
     """Judges the endpoints of one VM by the runs that the agent reports.
 
     Parameters
@@ -58,6 +58,7 @@
     """
 
     def __init__(self, network, directory, vm_id, claims=None, rng=None):
+        super().__init__()
         self._network = network
         self._directory = directory
         self._vm_id = vm_id
@@ -66,7 +67,6 @@
         self._states = {}
         self._open = set()
         self._revoked = set()
-        self.on_eject = lambda endpoint_id: None
         network.subscribe(msgs.EvidenceQuery, self._on_query)
 
     async def run(self):
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -5,6 +5,7 @@
 import itertools
 import logging
 import random
+from dataclasses import dataclass
 
 from dandelionarch.core.hedging import HedgeDelays
 from dandelionarch.core.ingress import Deliver, Dispatch, RequestLife
@@ -13,7 +14,7 @@
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.refusals import RefusalMemory
 from dandelionarch.core.retries import RetryBudget, ReturnSchedule
-from dandelionarch.core.selection import Candidate, TwoChoices, select
+from dandelionarch.core.selection import TRIAL_SHARE, Candidate, TwoChoices, select
 from dandelionarch.core.world import Health
 from dandelionarch.daemon.agent import CHUNK_BYTES
 from dandelionarch.daemon.attempt import Answer, AttemptStream, CallerFault, LinkLost
@@ -27,10 +28,24 @@
 FETCH_TIMEOUT_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class IngressRules:
+    """What differs between ways to run a fleet.
+
+    `trial_share` is the share of idempotent requests that try unhealthy endpoints.
+    With `links_kept_open` a link is opened before it is needed, so that one that is
+    not open is a fault.
+    """
+
+    trial_share: float = TRIAL_SHARE
+    links_kept_open: bool = False
+
+
 class Ingress:
     """Routes requests to agents and matches what comes back by attempt id."""
 
-    def __init__(self, network, directory, agent, rng=None):
+    def __init__(self, network, directory, agent, rng=None, rules=None):
+        self._rules = rules or IngressRules()
         self._network = network
         self._directory = directory
         self._rng = rng or random.Random()
@@ -53,6 +68,7 @@
             msgs.Credit,
             lambda link, msg: self._on_credit(link, msg, agent),
         )
+        network.subscribe(msgs.LoadNotice, lambda link, msg: self._note_load(msg.load))
         network.on_lost(self._on_link_lost)
 
     async def run(self, work, req, deadline):
@@ -117,10 +133,10 @@
         now = asyncio.get_running_loop().time()
         return self._returns.retry_after_s(now, self._rng, least_s)
 
-    def _choose(self, service, tried):
+    def _choose(self, work, tried):
         candidates = []
         own = self._directory.vms.get(self._network.vm_id)
-        for endpoint in self._directory.endpoints_of(service):
+        for endpoint in self._directory.endpoints_of(work.service):
             vm = self._directory.vms.get(endpoint.vm_id)
             cand = Candidate(endpoint, vm)
             cand.in_flight = self._in_flight.get(endpoint.endpoint_id, 0)
@@ -128,11 +144,17 @@
                 cand.near = vm.data_centre == own.data_centre
             self._add_report(cand)
             candidates.append(cand)
-        return select(candidates, self._policy, self._rng, tried)
+        # Work that is not idempotent can't be repeated after a failed trial.
+        trial_share = self._rules.trial_share if work.idempotent else 0.0
+        return select(
+            candidates, self._policy, self._rng, tried, trial_share=trial_share
+        )
 
     def _add_report(self, cand):
         now = asyncio.get_running_loop().time()
         cand.link_up = self._link_faults.is_up(cand.endpoint.vm_id, now)
+        if self._rules.links_kept_open:
+            cand.link_up = cand.link_up and self._network.is_up(cand.endpoint.vm_id)
         cand.link_faults = self._link_faults.count(cand.endpoint.vm_id)
         told = self._loads.get(cand.endpoint.endpoint_id)
         if told is not None:
@@ -337,11 +359,7 @@
         self._link_faults.worked(link.vm_id)
         load = getattr(msg, "load", None)
         if load is not None and load.endpoint_id:
-            own = self._in_flight.get(load.endpoint_id, 0)
-            others = max(0, load.running + load.queued - own)
-            now = asyncio.get_running_loop().time()
-            self._loads[load.endpoint_id] = (now, load, others)
-            self.on_load(load)
+            self._note_load(load)
         if isinstance(msg, msgs.Refusal) and msg.reason != Reason.BUSY.value:
             now = asyncio.get_running_loop().time()
             self._refusals.refused(stream.endpoint_id, now)
@@ -349,6 +367,13 @@
             self._refusals.taken(stream.endpoint_id)
         stream.mailbox.put_nowait(msg)
 
+    def _note_load(self, load):
+        own = self._in_flight.get(load.endpoint_id, 0)
+        others = max(0, load.running + load.queued - own)
+        now = asyncio.get_running_loop().time()
+        self._loads[load.endpoint_id] = (now, load, others)
+        self.on_load(load)
+
     def _on_credit(self, link, msg, agent):
         stream = self._streams.get(msg.attempt_id)
         if stream is not None and stream.link is link:
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import contextlib
-import hashlib
 import logging
 import random
 import uuid
 
 from sanic.compat import Header
 from sanic.exceptions import PayloadTooLarge, SanicException
-from sanic.response import HTTPResponse, json
+from sanic.response import HTTPResponse
 
 from dandelionarch.core.ingress import (
     RETRY_AFTER_MIN_S,
@@ -17,37 +16,29 @@
     Refuse,
     Work,
 )
-from dandelionarch.core.issued_keys import MAX_KEYS_PER_CALL
 from dandelionarch.core.outcome import Outcome, Reason
+from dandelionarch.core.routes import ServiceSplit
 from dandelionarch.daemon.attempt import (
     REPLAY_LIMIT_BYTES,
     BodyRest,
     CallerRequest,
 )
-from dandelionarch.daemon.caller_protocol import IngressApp, problem
-from dandelionarch.daemon.headers import end_to_end, from_wire, invalid_field
+from dandelionarch.daemon.caller_connections import IngressApp
+from dandelionarch.daemon.headers import from_wire, invalid_field
 from dandelionarch.errors import (
+    BadRequestError,
+    BodyTimeoutError,
     BodyTooLargeError,
     BrokenAnswerError,
     CallerBodyError,
+    UnknownCustomerError,
+    UnknownRouteError,
 )
 from dandelionarch.logs import event
 from dandelionarch.metrics import Metrics
 
 log = logging.getLogger(__name__)
 
-STATUS = {
-    Outcome.NOT_RUN: 503,
-    Outcome.UNKNOWN: 502,
-}
-REASON_STATUS = {
-    (Outcome.UNKNOWN, Reason.DEADLINE): 504,
-    (Outcome.NOT_RUN, Reason.KEY_REUSED): 422,
-    (Outcome.UNKNOWN, Reason.ORDER_IN_PROGRESS): 409,
-    (Outcome.NOT_RUN, Reason.OVER_LIMIT): 429,
-    (Outcome.UNKNOWN, Reason.OVER_LIMIT): 429,
-    (Outcome.UNKNOWN, Reason.SHED): 503,
-}
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 METHODS = ["GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS"]
 HEADER_TIMEOUT_S = 10
@@ -63,39 +54,50 @@
     ----------
     ingress : Ingress
         Runs the requests.
-    orders : OrderGate
-        Lets an order with an idempotency key pass at most once.
-    customer_limits : Limits
-        Admits requests within the customers' limits and sheds load.
+    callers : CallerProtocol
+        Reads callers' header fields and forms the refusals.
     state : object
-        Has `keys`, `routes` and `lists` of the accepted configuration, or None.
-    limits : LimitsSection
+        Has `routes` of the configuration in force, and `ready` once there is one.
+    bounds : LimitsSection
         Size limits.
-    metrics : Metrics
+    limits : Limits, optional
+        Admits requests within the customers' limits and sheds load.
+    orders : OrderGate, optional
+        Lets an order with an idempotency key pass at most once.
+    metrics : Metrics, optional
     """
 
-    def __init__(self, ingress, orders, customer_limits, state, limits, metrics=None):
+    def __init__(
+        self,
+        ingress,
+        callers,
+        state,
+        bounds,
+        limits=None,
+        orders=None,
+        metrics=None,
+    ):
         self._ingress = ingress
-        self._orders = orders
-        self._customer_limits = customer_limits
+        self._callers = callers
         self._state = state
-        self._limits = limits
+        self._bounds = bounds
+        self._customer_limits = limits
+        self._orders = orders
         self.metrics = metrics or Metrics()
         self._rng = random.Random()
+        self._split = ServiceSplit(self._rng)
         self.in_flight = 0
         self.stopping = False
         self.app = IngressApp(
             f"ingress-{uuid.uuid4().hex[:8]}", configure_logging=False
         )
-        self.app.ctx.max_connections = limits.max_connections
-        self.app.config.REQUEST_MAX_SIZE = limits.max_request_body_bytes
+        self.app.ctx.max_connections = bounds.max_connections
+        self.app.config.REQUEST_MAX_SIZE = bounds.max_request_body_bytes
         # The protocol class can be specialised for one application only.
         self.app.config.TOUCHUP = False
         self.app.config.REQUEST_TIMEOUT = HEADER_TIMEOUT_S
         self.app.config.RESPONSE_TIMEOUT = 3600
-        self.app.add_route(
-            self._issue_keys, "/dandelion/keys", methods=["POST"], name="keys"
-        )
+        callers.add_routes(self.app)
         options = {"methods": METHODS}
         self.app.add_route(self._handle, "/", name="root", **options)
         self.app.add_route(
@@ -117,31 +119,41 @@
             await asyncio.sleep(STOP_POLL_S)
 
     async def _on_error(self, request, exc):
-        request_id = uuid.uuid4().hex
+        request_id = self._request_id(request)
         if not isinstance(exc, SanicException):
             log.exception("internal_error", exc_info=exc, extra={"request": request_id})
-            return problem(502, "internal error", request_id, Outcome.UNKNOWN)
+            return self._callers.problem(
+                502, "internal error", request_id, Outcome.UNKNOWN
+            )
         status = getattr(exc, "status_code", 500)
-        self._bad_request(request_id, status, type(exc).__name__)
-        return problem(status, str(exc), request_id)
+        return self._bad_request(request_id, status, exc)
+
+    def _request_id(self, request):
+        # Sanic may fail before it has read a request's head.
+        if request is None:
+            return uuid.uuid4().hex
+        return self._callers.request_id(request)
 
-    def _bad_request(self, request_id, status, error):
+    def _bad_request(self, request_id, status, exc, outcome=Outcome.NOT_RUN):
+        """Log and count a request that can't be accepted; return its response."""
         event(
             log,
             "bad_request",
             logging.WARNING,
             request=request_id,
             status=status,
-            error=error,
+            error=type(exc).__name__,
+            detail=str(exc),
         )
         self.metrics.incr(f"refused.{status}")
+        return self._callers.problem(status, str(exc), request_id, outcome)
 
     async def _handle(self, request, path=""):
-        if self.in_flight >= self._limits.max_in_flight:
+        if self.in_flight >= self._bounds.max_in_flight:
             return self._turn_away(request, Reason.IN_FLIGHT_LIMIT)
         if self.stopping:
             return self._turn_away(request, Reason.STOPPING)
-        if self._state.lists is None:
+        if not self._state.ready:
             return self._turn_away(request, Reason.NOT_READY)
         self.in_flight += 1
         self.metrics.gauge("in_flight", self.in_flight)
@@ -155,57 +167,75 @@
     _handle.is_stream = True
 
     def _turn_away(self, request, reason):
-        request_id = uuid.uuid4().hex
+        request_id = self._request_id(request)
         event(log, "refused", logging.WARNING, request=request_id, reason=reason.value)
         self.metrics.incr(f"refused.{reason.value}")
         retry_after_s = RETRY_AFTER_MIN_S + self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
-        outcome = _unchecked_outcome(request, request.method in SAFE_METHODS)
-        return problem(503, reason.value, request_id, outcome, retry_after_s)
+        outcome = self._unchecked_outcome(request, request.method in SAFE_METHODS)
+        return self._callers.problem(
+            503, reason.value, request_id, outcome, retry_after_s
+        )
 
     async def _serve(self, request):
-        request_id = uuid.uuid4().hex
+        request_id = self._request_id(request)
         started = asyncio.get_running_loop().time()
-        customer = self._authenticate(request)
-        if customer is None:
-            self._bad_request(request_id, 401, "UnknownCustomer")
-            return problem(401, "unknown customer", request_id)
-        route = self._state.routes.find(request.method, request.path)
-        if route is None:
-            self._bad_request(request_id, 404, "UnknownRoute")
-            return problem(404, "unknown route", request_id)
-        fault = invalid_field(request.headers.items())
-        budget_s = self._budget(request, route)
-        if budget_s is None:
-            fault = "Dandelion-Time-Budget"
-        if fault is not None:
-            self._bad_request(request_id, 400, "InvalidHeader")
-            return problem(400, f"invalid header {fault!r}", request_id)
+        try:
+            customer = self._callers.customer(request)
+            route = self._route_of(request)
+            budget_s = self._budget_s(request, route)
+        except UnknownCustomerError as exc:
+            return self._bad_request(request_id, 401, exc)
+        except UnknownRouteError as exc:
+            return self._bad_request(request_id, 404, exc)
+        except BadRequestError as exc:
+            return self._bad_request(request_id, 400, exc)
         work = self._work(request_id, customer, route)
+        if self._customer_limits is None:
+            return await self._run(request, work, started, budget_s)
         key, reason, retry_s = await self._customer_limits.admit(work)
         if reason is not None:
             retry_s = self._ingress.retry_after_s(retry_s)
-            outcome = _unchecked_outcome(request, route.idempotent)
+            outcome = self._unchecked_outcome(request, route.idempotent)
             return self._refusal(work, Refuse(outcome, reason, retry_s), started)
         try:
             return await self._run(request, work, started, budget_s)
         finally:
             self._customer_limits.done(key)
 
+    def _route_of(self, request):
+        """Return the route of a request whose header fields may be passed on."""
+        host = self._callers.host(request)
+        route = self._state.routes.find(request.method, request.path, host)
+        if route is None:
+            raise UnknownRouteError("unknown route")
+        fault = invalid_field(request.headers.items())
+        if fault is not None:
+            raise BadRequestError(f"invalid header {fault!r}")
+        return route
+
+    def _budget_s(self, request, route):
+        """Return the time budget in seconds."""
+        given_ms = self._callers.budget_ms(request)
+        if given_ms is None:
+            return route.budget_ms / 1000
+        return min(given_ms, route.budget_ms) / 1000
+
     def _work(self, request_id, customer, route):
-        plan = self._state.lists.customers[customer].plan
+        priority = customer.priority if route.priority is None else route.priority
         return Work(
             request_id,
-            customer,
-            route.service,
+            customer.name,
+            self._split.choose(route),
             route.name,
             route.kind,
             route.idempotent,
-            self._state.lists.plans[plan].priority,
+            priority,
+            route.max_attempts,
         )
 
     async def _run(self, request, work, started, budget_s):
         deadline = started + budget_s
-        unchecked = _unchecked_outcome(request, work.idempotent)
+        unchecked = self._unchecked_outcome(request, work.idempotent)
         try:
             async with asyncio.timeout_at(deadline):
                 req = await self._caller_request(request)
@@ -222,8 +252,8 @@
         return await self._deliver(request, work, result, started)
 
     async def _route(self, request, work, req, deadline):
-        key = request.headers.get("idempotency-key")
-        if key is None or work.idempotent:
+        key = self._callers.order_key(request)
+        if key is None or work.idempotent or self._orders is None:
             return await self._ingress.run(work, req, deadline)
         if req.rest is not None:
             # The digest of the whole body decides whether a key is reused.
@@ -231,29 +261,14 @@
             raise CallerBodyError(Outcome.UNKNOWN, BodyTooLargeError(limit))
         return await self._orders.run(work, req, key, deadline)
 
-    async def _issue_keys(self, request):
-        """Hand out idempotency keys that bind orders to this daemon."""
-        request_id = uuid.uuid4().hex
-        if self._state.lists is None:
-            return problem(503, Reason.NOT_READY.value, request_id, retry_after_s=2)
-        customer = self._authenticate(request)
-        if customer is None:
-            return problem(401, "unknown customer", request_id)
-        count = request.args.get("count", "1")
-        if not count.isdecimal() or not 1 <= int(count) <= MAX_KEYS_PER_CALL:
-            title = f"count is not a number from 1 to {MAX_KEYS_PER_CALL}"
-            return problem(400, title, request_id)
-        return json({"keys": self._orders.issue(int(count), customer)})
-
     async def _refuse_body(self, request, work, exc, outcome):
         """Refuse a request whose body can't be read to its end."""
-        status, detail = 400, str(exc)
+        status = 400
         if isinstance(exc, BodyTooLargeError | PayloadTooLarge):
             status = 413
         elif isinstance(exc, TimeoutError):
-            status, detail = 408, "body not received in time"
-        self._bad_request(work.request_id, status, type(exc).__name__)
-        refusal = problem(status, detail, work.request_id, outcome)
+            status, exc = 408, BodyTimeoutError("body not received in time")
+        refusal = self._bad_request(work.request_id, status, exc, outcome)
         await (await request.respond(refusal)).send(end_stream=True)
         # Closing at once would reset the connection under the refusal.
         taken = 0
@@ -262,22 +277,6 @@
                 while request.stream.request_body and taken < LINGER_BYTES:
                     taken += len(await request.stream.read() or b"")
 
-    def _authenticate(self, request):
-        scheme, _, key = request.headers.get("authorization", "").partition(" ")
-        if scheme.lower() != "bearer" or not key:
-            return None
-        digest = hashlib.sha256(key.strip().encode(errors="replace")).hexdigest()
-        return self._state.keys.find(digest)
-
-    def _budget(self, request, route):
-        """Return the time budget in seconds, or None if the header is invalid."""
-        given = request.headers.get("dandelion-time-budget")
-        if given is None:
-            return route.budget_ms / 1000
-        if not (given.isascii() and given.isdecimal() and len(given) <= 10):
-            return None
-        return min(int(given), route.budget_ms) / 1000 or None
-
     async def _caller_request(self, request):
         """Return the request with the start of its body.
 
@@ -286,7 +285,7 @@
         BodyTooLargeError
             If the body exceeds the limit as far as that is known now.
         """
-        limit = self._limits.max_request_body_bytes
+        limit = self._bounds.max_request_body_bytes
         stream = request.stream
         if stream.request_bytes_left > limit:
             raise BodyTooLargeError(f"body exceeds {limit} bytes")
@@ -301,26 +300,17 @@
         target = request.path
         if request.query_string:
             target = f"{target}?{request.query_string}"
-        headers = end_to_end(request.headers.items(), drop={"content-length"})
+        headers = self._callers.passed_fields(request)
         return CallerRequest(request.method, target, headers, b"".join(parts), rest)
 
     def _refusal(self, work, refuse, started):
-        status = STATUS[refuse.outcome]
-        status = REASON_STATUS.get((refuse.outcome, refuse.reason), status)
+        resp, status = self._callers.refusal(work.request_id, refuse)
         self._log_outcome(work, refuse.outcome, status, started, refuse.reason.value)
-        return problem(
-            status,
-            refuse.reason.value,
-            work.request_id,
-            refuse.outcome,
-            refuse.retry_after_s,
-        )
+        return resp
 
     async def _deliver(self, request, work, answer, started):
         fields = [(h.name, from_wire(h.value)) for h in answer.headers]
-        fields.append(("Dandelion-Outcome", Outcome.ANSWER.value))
-        fields.append(("Dandelion-Request-Id", work.request_id))
-        headers = Header(fields)
+        headers = Header([*fields, *self._callers.answer_fields(work.request_id)])
         if answer.whole:
             if request.method != "HEAD":
                 headers.pop("content-length", None)
@@ -347,7 +337,7 @@
             await resp.send(answer.body)
             async for data in answer.chunks():
                 size += len(data)
-                if size > self._limits.max_response_body_bytes:
+                if size > self._bounds.max_response_body_bytes:
                     raise BrokenAnswerError("answer exceeds the size limit")
                 await resp.send(data)
         except BrokenAnswerError as exc:
@@ -379,12 +369,11 @@
         self.metrics.timing("latency", elapsed * 1000)
         self._ingress.remember(work.request_id, "outcome", fields)
 
+    def _unchecked_outcome(self, request, idempotent):
+        """Return the outcome of a request refused before its key is looked up.
 
-def _unchecked_outcome(request, idempotent):
-    """Return the outcome of a request that is refused before its key is looked up.
-
-    An earlier attempt with the same key may have run, and a caller that is told
-    `not-run` might place the order again under a new key.
-    """
-    keyed = "idempotency-key" in request.headers and not idempotent
-    return Outcome.UNKNOWN if keyed else Outcome.NOT_RUN
+        An earlier attempt with the same key may have run, and a caller that is told
+        `not-run` might place the order again under a new key.
+        """
+        keyed = self._callers.order_key(request) is not None and not idempotent
+        return Outcome.UNKNOWN if keyed else Outcome.NOT_RUN
--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -1,12 +1,13 @@
 """Links between daemons: the network task owns all connections to peers."""
 
 import asyncio
+import contextlib
 import inspect
 import logging
 
 from dandelionarch.daemon.faults import LinkFaults
 from dandelionarch.daemon.tcplink import Link, TcpLink
-from dandelionarch.errors import LinkDownError, WireError
+from dandelionarch.errors import LinkDownError, LinkError, WireError
 from dandelionarch.logs import event
 from dandelionarch.wire.codec import Codec
 
@@ -114,6 +115,13 @@
         """Return every established link, dialled or accepted."""
         return [*self._links.values(), *self._accepted]
 
+    def broadcast(self, msg):
+        """Send a message once to this daemon and to every VM that a link is up to."""
+        links = {link.vm_id: link for link in [*self._accepted, *self._links.values()]}
+        for link in [self._local, *links.values()]:
+            with contextlib.suppress(LinkError):
+                link.send(msg)
+
     async def link(self, vm_id):
         """Return the link to a VM, dialling it if need be.
 
--- /dev/null
+++ b/dandelionarch/daemon/watch.py
@@ -0,0 +1,137 @@
+"""What an agent tells about the runs at its endpoints, and whom it may admit."""
+
+import dataclasses
+import logging
+from abc import ABC, abstractmethod
+
+from dandelionarch.core.gate import EndpointGate, RunResult
+from dandelionarch.core.outcome import Reason
+from dandelionarch.core.world import Health
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+SERVER_ERROR = 500
+GATEWAY_TIMEOUT = 504
+
+RESULTS = {
+    Reason.WORKER_FAILED: RunResult.BROKEN,
+    Reason.WORKER_LINK: RunResult.BROKEN,
+    Reason.WORKER_UNREACHABLE: RunResult.BROKEN,
+    Reason.TRUNCATED: RunResult.BROKEN,
+    # One may be a straggler or a full queue; two in a row are not.
+    Reason.DEADLINE: RunResult.APPLICATION_ERROR,
+    Reason.WORKER_REFUSED: RunResult.APPLICATION_ERROR,
+}
+
+
+class Watch(ABC):
+    """Judges the endpoints of one VM by the runs that the agent reports."""
+
+    def __init__(self):
+        self.on_eject = lambda endpoint_id: None
+
+    @abstractmethod
+    def marked(self, endpoint):
+        """Return an endpoint of this VM with its present health."""
+
+    @abstractmethod
+    def admits(self, endpoint, idempotent):
+        """Return True if a request may go to the endpoint."""
+
+    @abstractmethod
+    def admitted(self, endpoint, run):
+        """Take note of an attempt that was let in."""
+
+    @abstractmethod
+    def started(self, endpoint, run, kind):
+        """Take note of an attempt that got a slot."""
+
+    @abstractmethod
+    def answered(self, endpoint, run, status):
+        """Take note of the start of a response."""
+
+    @abstractmethod
+    def ended(self, endpoint, run, reason, kind):
+        """Take note of the end of an attempt that was let in."""
+
+
+class GateWatch(Watch):
+    """One gate per endpoint.
+
+    Parameters
+    ----------
+    directory : Directory
+    now : callable
+        Returns the monotonic time in seconds.
+
+    `on_change(endpoint)` is called with an endpoint whose health has changed.
+    """
+
+    def __init__(self, directory, now):
+        super().__init__()
+        self._directory = directory
+        self._now = now
+        self._gates = {}
+        self._statuses = {}
+        self.on_change = lambda endpoint: None
+
+    def marked(self, endpoint):
+        return dataclasses.replace(endpoint, health=self._gate(endpoint).health)
+
+    def admits(self, endpoint, idempotent):
+        return self._gate(endpoint).admits(idempotent, self._now())
+
+    def admitted(self, endpoint, run):
+        self._gate(endpoint).began(run, self._now())
+
+    def started(self, endpoint, run, kind):
+        pass
+
+    def answered(self, endpoint, run, status):
+        self._statuses[run] = status
+
+    def ended(self, endpoint, run, reason, kind):
+        result = self._result(run, reason)
+        self._gate(endpoint).ended(run, result, self._now())
+        self._show(endpoint, run, result)
+
+    def _result(self, run, reason):
+        status = self._statuses.pop(run, None)
+        if reason is not None:
+            return RESULTS.get(reason, RunResult.INCONCLUSIVE)
+        if status is None or status == GATEWAY_TIMEOUT:
+            return RunResult.INCONCLUSIVE
+        if status >= SERVER_ERROR:
+            return RunResult.APPLICATION_ERROR
+        return RunResult.SERVED
+
+    def _gate(self, endpoint):
+        incarnation, gate = self._gates.get(endpoint.endpoint_id, (None, None))
+        if incarnation != endpoint.incarnation:
+            gate = EndpointGate()
+            self._gates[endpoint.endpoint_id] = (endpoint.incarnation, gate)
+        return gate
+
+    def _show(self, endpoint, run, result):
+        """Log and pass on a change of health; forget endpoints that are gone."""
+        known = self._directory.endpoints.get(endpoint.endpoint_id)
+        if known is None or known.incarnation != endpoint.incarnation:
+            self._gates.pop(endpoint.endpoint_id, None)
+            return
+        marked = self.marked(known)
+        if marked.health is known.health:
+            return
+        self._directory.put_endpoint(marked)
+        event(
+            log,
+            "endpoint_health",
+            logging.WARNING,
+            endpoint=endpoint.endpoint_id,
+            health=marked.health.value,
+            request=run.head.request_id,
+            result=result.value,
+        )
+        if marked.health is not Health.HEALTHY:
+            self.on_eject(endpoint.endpoint_id)
+        self.on_change(marked)
--- a/dandelionarch/daemon/workers.py
+++ b/dandelionarch/daemon/workers.py
@@ -1,10 +1,13 @@
 """Connections to the endpoints beside this daemon."""
 
+import functools
+import logging
 import socket
 from dataclasses import dataclass
 
 import aiohttp
 import yarl
+from aiohttp.client_proto import ResponseHandler
 
 from dandelionarch.daemon.headers import from_wire
 from dandelionarch.errors import (
@@ -12,6 +15,9 @@
     WorkerLostError,
     WorkerUnreachableError,
 )
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 5.0
@@ -34,6 +40,56 @@
     answered: bool = False
 
 
+class EndpointProtocol(ResponseHandler):
+    """Connection to an endpoint that drops responses to earlier requests.
+
+    Attributes
+    ----------
+    was_reset : bool
+        True once the connection has ended otherwise than by an orderly close.
+    """
+
+    def __init__(self, id_field, loop):
+        super().__init__(loop)
+        self.was_reset = False
+        self._id_field = id_field
+        self._expected_id = None
+
+    def expect(self, fields):
+        """Take note of the request whose response comes next."""
+        self._expected_id = fields.get(self._id_field)
+
+    def feed_data(self, data, size=0):
+        """Take a response whose head has arrived."""
+        message, _ = data
+        echoed = message.headers.get(self._id_field, self._expected_id)
+        if self._expected_id is not None and echoed != self._expected_id:
+            # An endpoint may send a second response to a request that has ended.
+            event(
+                log,
+                "stale_answer_dropped",
+                logging.WARNING,
+                request=self._expected_id,
+                answers=echoed,
+            )
+            self.force_close()
+            return
+        super().feed_data(data, size)
+
+    def connection_lost(self, exc):
+        self.was_reset = exc is not None
+        super().connection_lost(exc)
+
+
+class EndpointRequest(aiohttp.ClientRequest):
+    """Request that tells its connection which response to expect."""
+
+    async def send(self, conn):
+        """Send the request."""
+        conn.protocol.expect(self.headers)
+        return await super().send(conn)
+
+
 class WorkerConnector(aiohttp.TCPConnector):
     """Connector that never reuses a connection with unread bytes.
 
@@ -41,6 +97,10 @@
     as the answer to the next one.
     """
 
+    def __init__(self, id_field, **kwargs):
+        super().__init__(**kwargs)
+        self._factory = functools.partial(EndpointProtocol, id_field, loop=self._loop)
+
     async def connect(self, req, traces, timeout):
         """Return a connection that nothing was received on out of turn."""
         while True:
@@ -50,10 +110,49 @@
             conn.close()
 
 
+class WorkerAnswer:
+    """An endpoint's answer whose head has arrived."""
+
+    def __init__(self, resp, bodiless):
+        self.status = resp.status
+        self.headers = resp.headers
+        self._resp = resp
+        self._protocol = resp.connection.protocol if resp.connection else None
+        chunked = resp.headers.get("Transfer-Encoding", "").lower().endswith("chunked")
+        self.framed = bodiless or chunked or "Content-Length" in resp.headers
+
+    async def read(self, size):
+        """Return (data, True if that is the end) of the body.
+
+        Raises
+        ------
+        BrokenAnswerError
+            If the body ends with the connection and that was reset.
+        """
+        data = await self._resp.content.read(size)
+        last = self._resp.content.at_eof()
+        if last and not self.framed and self._protocol and self._protocol.was_reset:
+            raise BrokenAnswerError("connection was reset before the answer's end")
+        return data, last
+
+    def end(self, reusable):
+        """Give the connection back, or close it."""
+        if reusable:
+            self._resp.release()
+        else:
+            self._resp.close()
+
+
 class WorkerPool:
-    """Opens requests to endpoints over pooled connections."""
+    """Opens requests to endpoints over pooled connections.
+
+    Parameters
+    ----------
+    dialect : EndpointDialect
+    """
 
-    def __init__(self):
+    def __init__(self, dialect):
+        self._dialect = dialect
         self._session = None
 
     async def start(self):
@@ -61,6 +160,7 @@
         trace = aiohttp.TraceConfig()
         trace.on_connection_reuseconn.append(_note_reuse)
         connector = WorkerConnector(
+            self._dialect.request_id_field,
             limit=0,
             keepalive_timeout=IDLE_CONNECTION_S,
             socket_factory=_open_socket,
@@ -71,6 +171,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             trace_configs=[trace],
             middlewares=[send_once],
+            request_class=EndpointRequest,
             skip_auto_headers=OWN_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         )
@@ -80,7 +181,7 @@
         await self._session.close()
 
     async def open(self, call, endpoint, head, data, budget_ms):
-        """Send a request and return the answer whose head has arrived.
+        """Send a request and return the `WorkerAnswer` whose head has arrived.
 
         Parameters
         ----------
@@ -99,43 +200,39 @@
         WorkerLostError, BrokenAnswerError, aiohttp.ClientError
             If the endpoint may have seen the request.
         """
-        headers = [(h.name, from_wire(h.value)) for h in head.headers]
-        headers.append(("Dandelion-Request-Id", head.request_id))
-        headers.append(("Dandelion-Time-Budget", str(budget_ms)))
+        fields = (
+            *head.headers,
+            *self._dialect.request_fields(endpoint, head, budget_ms),
+        )
         url = f"http://{endpoint.host}:{endpoint.port}{head.target}"
         resp = await self._session.request(
             head.method,
             yarl.URL(url, encoded=True),
-            headers=headers,
+            headers=[(field.name, from_wire(field.value)) for field in fields],
             data=data or None,
             allow_redirects=False,
             trace_request_ctx=call,
         )
         call.answered = True
+        answer = WorkerAnswer(resp, _bodiless(resp, head))
         try:
-            _check_answer(resp, head)
+            self._dialect.check(resp.status, resp.headers, head)
+            if resp.status < 200:
+                raise BrokenAnswerError(f"unexpected status {resp.status}")
+            if not answer.framed and not self._dialect.close_ends_body:
+                raise BrokenAnswerError("no length: a truncated answer looks whole")
         except BrokenAnswerError:
-            resp.close()
+            answer.end(reusable=False)
             raise
-        return resp
-
+        return answer
 
-def refused(resp):
-    """Return True if the endpoint states that it did not run the request."""
-    return resp.status == 503 and resp.headers.get("Dandelion-Not-Run") == "1"
+    def refused(self, answer):
+        """Return True if the endpoint states that it did not run the request."""
+        return self._dialect.refused(answer.status, answer.headers)
 
 
-def _check_answer(resp, head):
-    """Raise `BrokenAnswerError` if the answer's end could not be told."""
-    echoed = resp.headers.get("Dandelion-Request-Id", head.request_id)
-    if echoed != head.request_id:
-        raise BrokenAnswerError(f"answer belongs to request {echoed!r}")
-    if resp.status < 200:
-        raise BrokenAnswerError(f"unexpected status {resp.status}")
-    bodiless = head.method == "HEAD" or resp.status in BODILESS_STATUS
-    chunked = resp.headers.get("Transfer-Encoding", "").lower().endswith("chunked")
-    if not (bodiless or chunked or "Content-Length" in resp.headers):
-        raise BrokenAnswerError("answer has no length: a truncated one looks whole")
+def _bodiless(resp, head):
+    return head.method == "HEAD" or resp.status in BODILESS_STATUS
 
 
 async def _note_reuse(session, context, params):
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -157,6 +157,22 @@
         super().__init__(str(cause))
 
 
+class BadRequestError(DandelionError):
+    """A caller's request has a malformed header field."""
+
+
+class UnknownCustomerError(DandelionError):
+    """A caller has not shown the key of a customer."""
+
+
+class UnknownRouteError(DandelionError):
+    """No route matches a request."""
+
+
+class BodyTimeoutError(DandelionError):
+    """A caller did not send its body in time."""
+
+
 class StartError(DandelionError):
     """A part of a program could not start."""
 
--- a/dandelionarch/measure/propagation.py
+++ b/dandelionarch/measure/propagation.py
@@ -11,8 +11,9 @@
 from dandelionarch.core.amend import Difference
 from dandelionarch.core.checkpoints import Retention
 from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Publication
-from dandelionarch.core.lists import CustomerKeys, RouteTable, parse_lists
+from dandelionarch.core.lists import CustomerKeys, parse_lists, routes_of
 from dandelionarch.core.parts import split
+from dandelionarch.core.routes import RouteTable
 from dandelionarch.core.streams import Fold, Record
 from dandelionarch.measure.stream_fleet import StreamFleet
 from dandelionarch.wire.codec import Codec
@@ -164,7 +165,7 @@
     """Print time, memory and size of the large lists."""
     texts = large_lists()
     lists, parse_s = _timed(lambda: parse_lists(*texts))
-    _, tables_s = _timed(lambda: (RouteTable(lists), CustomerKeys(lists)))
+    _, tables_s = _timed(lambda: (RouteTable(routes_of(lists)), CustomerKeys(lists)))
     fold = ConfigFold()
     first = Record(0, 0.0, "first", Publication(0, "a", texts).to_bytes())
     decision, full_s = _timed(lambda: fold.apply(first))
@@ -195,7 +196,7 @@
     tracemalloc.start()
     fold = ConfigFold()
     fold.restore(data)
-    tables = RouteTable(fold.state.lists), CustomerKeys(fold.state.lists)
+    tables = RouteTable(routes_of(fold.state.lists)), CustomerKeys(fold.state.lists)
     held = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     del tables
--- a/dandelionarch/measure/rules.py
+++ b/dandelionarch/measure/rules.py
@@ -124,7 +124,9 @@
     Rule(
         "demoted endpoints last",
         "50% errors, log unavailable",
-        constant(selection, "healthy_first", lambda cands, drops, rng: cands),
+        constant(
+            selection, "healthy_first", lambda cands, drops, rng, trial_share: cands
+        ),
     ),
 )
 
--- a/dandelionarch/wire/codec.py
+++ b/dandelionarch/wire/codec.py
@@ -17,6 +17,7 @@
     limits,
     members,
     orders,
+    registry,
     request,
     streams,
 )
@@ -37,6 +38,7 @@
     STREAMS = 2
     EVIDENCE = 4
     LIMITS = 5
+    REGISTRY = 6
     ORDERS = 7
 
 
@@ -46,6 +48,7 @@
     Channel.STREAMS: ("streams.capnp", streams.MESSAGES),
     Channel.EVIDENCE: ("evidence.capnp", evidence.MESSAGES),
     Channel.LIMITS: ("limits.capnp", limits.MESSAGES),
+    Channel.REGISTRY: ("registry.capnp", registry.MESSAGES),
     Channel.ORDERS: ("orders.capnp", orders.MESSAGES),
 }
 
--- /dev/null
+++ b/dandelionarch/wire/registry.capnp
@@ -0,0 +1,31 @@
+@0xb7d2c6a19e3f4805;
+
+struct RegisteredEndpoint {
+  endpointId @0 :Text;
+  service @1 :Text;
+  host @2 :Text;
+  port @3 :UInt16;
+  slots @4 :UInt32;
+  connections @5 :UInt32;
+  incarnation @6 :UInt64;
+  state @7 :Text;
+}
+
+struct VmEntry {
+  vmId @0 :Text;
+  dataCentre @1 :Text;
+  region @2 :Text;
+  host @3 :Text;
+  peerPort @4 :UInt16;
+  incarnation @5 :UInt64;
+  edition @6 :UInt64;
+  state @7 :Text;
+  endpoints @8 :List(RegisteredEndpoint);
+}
+
+struct Envelope {
+  union {
+    vmEntry @0 :VmEntry;
+    unused @1 :Void;
+  }
+}
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -87,6 +87,10 @@
   nonce @0 :UInt64;
 }
 
+struct LoadNotice {
+  load @0 :LoadReport;
+}
+
 struct Envelope {
   union {
     requestHead @0 :RequestHead;
@@ -100,5 +104,6 @@
     leaving @8 :Leaving;
     ping @9 :Ping;
     pong @10 :Pong;
+    loadNotice @11 :LoadNotice;
   }
 }
