Run the daemon on the users' platform

The adapter in dandelionarch/platform translates the store, the operator's configuration, reports of endpoints, readiness and the header fields of callers and endpoints. RegistryDaemon is the composition for a fleet whose registry and configuration are topics of a store: the same request path, links kept open to every VM, one gate per endpoint in place of ejection. Follower reads a topic by long reads, RegistryService writes this VM's entry on change only. Reading of INI sections and supervision of tasks are shared with the daemon that uses gossip.

--- a/dandelionarch/core/registry.py
+++ b/dandelionarch/core/registry.py
@@ -32,6 +32,7 @@
         self._directory = directory
         self._edition = 0
         self._known = {}
+        self._own_read = (0, 0)
 
     def entry(self):
         """Return this daemon's entry as it is now, as a new edition."""
@@ -72,7 +73,9 @@
             self._directory.put_vm(self.vm)
             return True
         version = (entry.incarnation, entry.edition)
-        return version < (self.vm.incarnation, self._edition)
+        late = version < self._own_read
+        self._own_read = max(version, self._own_read)
+        return late
 
     def _put(self, entry):
         vm = Vm(
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -31,6 +31,7 @@
 from dandelionarch.daemon.logclient import LogClient
 from dandelionarch.daemon.order_home import OrderHomes
 from dandelionarch.daemon.orders import OrderGate
+from dandelionarch.daemon.parts import run_steps, serve_app, supervise
 from dandelionarch.daemon.streams import StreamService
 from dandelionarch.errors import LinkError, StartError, StopError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
@@ -40,7 +41,6 @@
 log = logging.getLogger(__name__)
 
 STOP_POLL_S = 0.02
-RESTART_DELAY_S = 1.0
 
 
 class ActiveConfig:
@@ -187,7 +187,7 @@
                 self.http.app, cfg.ingress_port, IngressProtocol
             ),
         }
-        errors = await _run_steps(steps, StartError)
+        errors = await run_steps(steps, StartError)
         if errors:
             with contextlib.suppress(ExceptionGroup):
                 await self.stop()
@@ -202,19 +202,11 @@
             self.order_homes.run,
             self.limits.run,
         ):
-            self._tasks.append(asyncio.create_task(_supervise(run)))
+            self._tasks.append(asyncio.create_task(supervise(run)))
 
     async def _serve(self, app, port, protocol=None):
-        server = await app.create_server(
-            self.settings.daemon.host,
-            port,
-            return_asyncio_server=True,
-            access_log=False,
-            protocol=protocol,
-        )
-        await server.startup()
-        await server.start_serving()
-        self._servers.append(server)
+        host = self.settings.daemon.host
+        self._servers.append(await serve_app(app, host, port, protocol))
 
     def _busy(self):
         """Return True while work is in flight here or answers wait to be sent."""
@@ -259,7 +251,7 @@
             "peer network": self.network.stop(),
             "log client": self.client.stop(),
         }
-        errors = await _run_steps(steps, StopError)
+        errors = await run_steps(steps, StopError)
         if errors:
             raise ExceptionGroup("daemon did not stop properly", errors)
 
@@ -361,31 +353,3 @@
     def _address(self, vm_id):
         vm = self.directory.vms.get(vm_id)
         return None if vm is None else (vm.host, vm.peer_port)
-
-
-async def _supervise(run):
-    """Run a part's task until cancelled; begin it again if it fails.
-
-    Without this a fault in one part would end its task for good, and the daemon
-    would go on without, say, its membership.
-    """
-    while True:
-        try:
-            await run()
-            return
-        except Exception:
-            log.exception("task_failed", extra={"task": run.__qualname__})
-        await asyncio.sleep(RESTART_DELAY_S)
-
-
-async def _run_steps(steps, error):
-    """Await every step and return the failures, each as an `error`."""
-    errors = []
-    for what, coro in steps.items():
-        try:
-            await coro
-        except Exception as exc:
-            failure = error(f"{what}: {exc}")
-            failure.__cause__ = exc
-            errors.append(failure)
-    return errors
--- /dev/null
+++ b/dandelionarch/daemon/follower.py
@@ -0,0 +1,85 @@
+"""Task that follows one topic of keyed records by long reads."""
+
+import asyncio
+import logging
+import random
+
+from dandelionarch.core.keyed_log import Batch
+from dandelionarch.errors import OffsetTruncatedError, PlatformError
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+LONG_READ_S = 25.0
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 1.0
+
+
+class Follower:
+    """Hands every batch of a topic's records to `on_records`, oldest first.
+
+    After a gap the newest record of each key comes again, so handlers must bear
+    repeats.
+
+    Parameters
+    ----------
+    topic : KeyedLog
+    on_records : callable
+        Takes a tuple of `KeyedRecord`.
+    pause_s : float
+        Least time between two reads, in which changes gather.
+    rng : random.Random, optional
+        Spreads the retries of many daemons.
+    """
+
+    def __init__(self, topic, on_records, pause_s=0.0, rng=None):
+        self._topic = topic
+        self._on_records = on_records
+        self._pause_s = pause_s
+        self._rng = rng or random.Random()
+        self._offset = None
+        self.available = False
+        self.caught_up = asyncio.Event()
+
+    async def run(self):
+        """Follow until cancelled."""
+        while True:
+            try:
+                batch = await self._next()
+            except OffsetTruncatedError as exc:
+                event(log, "topic_truncated", topic=self._topic.name, detail=exc)
+                self._offset = None
+                continue
+            except PlatformError as exc:
+                self._lost(exc)
+                await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+                continue
+            self._regained()
+            self._offset = batch.end
+            if batch.records:
+                self._on_records(batch.records)
+            self.caught_up.set()
+            await asyncio.sleep(self._pause_s)
+
+    async def _next(self) -> Batch:
+        if self._offset is None:
+            return await self._topic.newest()
+        return await self._topic.read(self._offset, LONG_READ_S)
+
+    def _lost(self, exc):
+        if self.available or not self.caught_up.is_set():
+            event(
+                log,
+                "store_lost",
+                logging.WARNING,
+                topic=self._topic.name,
+                offset=self._offset,
+                error=type(exc).__name__,
+                detail=exc,
+            )
+        self.available = False
+
+    def _regained(self):
+        if not self.available:
+            event(log, "store_regained", topic=self._topic.name, offset=self._offset)
+        self.available = True
--- a/dandelionarch/daemon/headers.py
+++ b/dandelionarch/daemon/headers.py
@@ -25,11 +25,12 @@
 CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
 
-def end_to_end(fields, drop=frozenset()):
+def end_to_end(fields, drop=frozenset(), keep=frozenset()):
     """Return the fields that pass a proxy, as `Header` tuples.
 
     Fields for one hop, fields named by `Connection`, and the daemon's own ones are
-    left out. A value that is not UTF-8 is carried as Latin-1.
+    left out, and those in `drop`; those in `keep` are not. Names are in lower case.
+    A value that is not UTF-8 is carried as Latin-1.
     """
     fields = list(fields)
     named = set()
@@ -39,6 +40,9 @@
     out = []
     for name, value in fields:
         low = name.lower()
+        if low in keep:
+            out.append(Header(name, _to_wire(value)))
+            continue
         if low in HOP_HEADERS or low in named or low in drop:
             continue
         if not low.startswith(OWN_PREFIX):
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -105,6 +105,14 @@
         )
         self.app.exception(Exception)(self._on_error)
 
+    def use_bounds(self, bounds):
+        """Keep callers to the `CallerBounds` of the configuration."""
+        cfg = self.app.config
+        cfg.REQUEST_MAX_SIZE = bounds.max_body_bytes
+        cfg.REQUEST_MAX_HEADER_SIZE = bounds.max_header_bytes
+        cfg.REQUEST_TIMEOUT = bounds.header_timeout_s
+        cfg.KEEP_ALIVE_TIMEOUT = bounds.idle_timeout_s
+
     def refuse_new_work(self):
         """Refuse all requests from now on and end connections after their reply."""
         self.stopping = True
--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -44,9 +44,12 @@
         Key of the fleet.
     address_of : callable
         `address_of(vm_id)` returns (host, port) or None.
+    idle_ping_s : float, optional
+        After how many seconds an unused link is checked; never by default.
     """
 
-    def __init__(self, vm_id, shared_key, address_of):
+    def __init__(self, vm_id, shared_key, address_of, idle_ping_s=None):
+        self.idle_ping_s = idle_ping_s
         self.vm_id = vm_id
         self.shared_key = shared_key
         self.codec = Codec()
@@ -255,7 +258,9 @@
             for link in self.all_links():
                 if paused:
                     link.last_received = now
-                else:
+                    continue
+                # A connection may be closing before its end has been reported.
+                with contextlib.suppress(LinkError):
                     link.check(now)
 
     @staticmethod
--- /dev/null
+++ b/dandelionarch/daemon/registry.py
@@ -0,0 +1,109 @@
+"""Registry task: writes this daemon's entry and takes in those of the others."""
+
+import asyncio
+import logging
+import random
+
+from dandelionarch.core.keyed_log import KeyedRecord
+from dandelionarch.core.registry import Registry
+from dandelionarch.daemon.follower import Follower
+from dandelionarch.errors import MessageDecodeError, PlatformError
+from dandelionarch.logs import event
+from dandelionarch.wire.codec import Channel
+
+log = logging.getLogger(__name__)
+
+# Changes that come together are read together: each one wakes all daemons.
+GATHER_S = 0.2
+RETRY_MIN_S = 0.2
+RETRY_MAX_S = 1.0
+
+
+class RegistryService:
+    """Keeps the directory in step with the registry topic.
+
+    Parameters
+    ----------
+    topic : KeyedLog
+    directory : Directory
+    vm : Vm
+        The VM of this daemon.
+    codec : Codec
+    """
+
+    def __init__(self, topic, directory, vm, codec, rng=None):
+        self._topic = topic
+        self._codec = codec
+        self._rng = rng or random.Random()
+        self._registry = Registry(directory, vm)
+        self._changed = asyncio.Event()
+        self._changed.set()
+        self._written = asyncio.Event()
+        self.follower = Follower(topic, self._on_records, GATHER_S, self._rng)
+
+    def announce(self):
+        """Write the entry again, as this VM or its endpoints have changed."""
+        self._written.clear()
+        self._changed.set()
+
+    async def leave(self, timeout_s):
+        """Write that this VM leaves; give up after `timeout_s`."""
+        self._registry.leave()
+        self.announce()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._written.wait()
+        except TimeoutError:
+            event(log, "leave_not_written", logging.WARNING, timeout_s=timeout_s)
+
+    async def run(self):
+        """Write the entry after each change until cancelled."""
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            try:
+                await self._write()
+            except PlatformError as exc:
+                event(
+                    log,
+                    "entry_not_written",
+                    logging.WARNING,
+                    error=type(exc).__name__,
+                    detail=exc,
+                )
+                self._changed.set()
+                await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+
+    async def _write(self):
+        entry = self._registry.entry()
+        _, value = self._codec.encode(entry)
+        await self._topic.append(KeyedRecord(entry.vm_id, value))
+        event(
+            log,
+            "entry_written",
+            edition=entry.edition,
+            state=entry.state,
+            endpoints=",".join(f"{e.endpoint_id}:{e.state}" for e in entry.endpoints),
+        )
+        if not self._changed.is_set():
+            self._written.set()
+
+    def _on_records(self, records):
+        for record in records:
+            if not record.value:
+                continue
+            try:
+                entry = self._codec.decode(Channel.REGISTRY, record.value)
+                again = self._registry.apply(entry)
+            except (MessageDecodeError, ValueError) as exc:
+                event(
+                    log,
+                    "entry_unreadable",
+                    logging.WARNING,
+                    key=record.key,
+                    detail=exc,
+                )
+                continue
+            if again:
+                event(log, "entry_superseded", edition=entry.edition)
+                self.announce()
--- /dev/null
+++ b/dandelionarch/daemon/registry_app.py
@@ -0,0 +1,295 @@
+"""The daemon of a fleet whose configuration and registry are topics of a store.
+
+It is made of the same request path as `daemon.app.Daemon`. Who is alive is told by
+the registry and by the daemon's own links; configuration comes as a whole from the
+operator; one gate per endpoint stands for ejection.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import logging
+import random
+import time
+from abc import ABC, abstractmethod
+
+from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.routing_config import ActiveRouting
+from dandelionarch.core.world import EndpointState, Vm, VmState
+from dandelionarch.daemon.agent import Agent
+from dandelionarch.daemon.caller_connections import IngressProtocol
+from dandelionarch.daemon.follower import Follower
+from dandelionarch.daemon.ingress import Ingress, IngressRules
+from dandelionarch.daemon.ingress_http import IngressHttp
+from dandelionarch.daemon.link import PeerNetwork
+from dandelionarch.daemon.link_keeper import LinkKeeper
+from dandelionarch.daemon.listening import close_listener
+from dandelionarch.daemon.parts import run_steps, serve_app, supervise
+from dandelionarch.daemon.registry import RegistryService
+from dandelionarch.daemon.watch import GateWatch
+from dandelionarch.errors import ConfigError, StartError, StopError
+from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+STOP_POLL_S = 0.02
+# Idempotent requests that try an endpoint behind a closed gate. A failed trial costs
+# the request one more attempt, and a spell of failures is over only when one shows.
+TRIAL_SHARE = 0.15
+IDLE_PING_S = 2.0
+
+
+class ConfigFormat(ABC):
+    """The form in which the operator writes the configuration."""
+
+    key = ""
+
+    @abstractmethod
+    def decode(self, value):
+        """Return a `RoutingConfig`, or raise `ConfigError`."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Platform:
+    """What a fleet's surroundings provide, behind the product's own interfaces.
+
+    `apps` lists the HTTP applications beside the callers' one, with their addresses;
+    they are made by `make_apps(daemon)`.
+    """
+
+    config_topic: object
+    config_format: ConfigFormat
+    registry_topic: object
+    callers: object
+    dialect: object
+    make_apps: object
+
+
+class RegistryDaemon:
+    """All parts of one daemon in one process and loop.
+
+    Parameters
+    ----------
+    settings : RegistrySettings
+    platform : Platform
+    """
+
+    def __init__(self, settings, platform, directory):
+        cfg = settings.daemon
+        self.settings = settings
+        self.vm_id = VmId(cfg.vm)
+        self.vm = Vm(
+            self.vm_id,
+            DataCentreId(cfg.data_centre),
+            RegionId(cfg.region),
+            cfg.host,
+            settings.listen.callers_address[1],
+            settings.listen.peer_port,
+            0,
+            0,
+            Incarnation(time.time_ns() // 1_000),
+        )
+        self.directory = directory
+        self.directory.put_vm(self.vm)
+        self.routing = ActiveRouting()
+        self._platform = platform
+        self._rng = random.Random()
+        self._stopping = False
+        self._build_path(cfg)
+        self._build_state()
+        self._servers = []
+        self._tasks = []
+
+    def _build_path(self, cfg):
+        self.network = PeerNetwork(
+            self.vm_id, cfg.shared_key.encode(), self._address, IDLE_PING_S
+        )
+        self.network.subscribe(msgs.Leaving, self._on_leaving)
+        self.watch = GateWatch(self.directory, self.network.now)
+        self.agent = Agent(
+            self.network, self.directory, self.vm_id, self.watch, self._platform.dialect
+        )
+        self.watch.on_change = self.agent.announce_load
+        self.ingress = Ingress(
+            self.network,
+            self.directory,
+            self.agent,
+            self._rng,
+            IngressRules(trial_share=TRIAL_SHARE, links_kept_open=True),
+        )
+        self.http = IngressHttp(
+            self.ingress, self._platform.callers, self.routing, self.settings.limits
+        )
+
+    def _build_state(self):
+        platform = self._platform
+        self.registry = RegistryService(
+            platform.registry_topic,
+            self.directory,
+            self.vm,
+            self.network.codec,
+            self._rng,
+        )
+        self._config_follower = Follower(
+            platform.config_topic, self._on_config, rng=self._rng
+        )
+        self._keeper = LinkKeeper(self.network, self.directory)
+
+    @property
+    def ready(self):
+        """Return True while callers may send new work here."""
+        return self.routing.ready and not self._stopping
+
+    async def run(self, stop):
+        """Serve until the `stop` event is set, then shut down gracefully.
+
+        Raises
+        ------
+        ExceptionGroup
+            Of `StartError` or `StopError`, one per part that failed.
+        """
+        await self.start()
+        event(log, "daemon_started", vm=self.vm_id, incarnation=self.vm.incarnation)
+        await stop.wait()
+        await self.drain()
+        await self.stop()
+        event(log, "daemon_stopped", vm=self.vm_id)
+
+    async def start(self):
+        """Open all ports and start all tasks, or report every part that fails."""
+        listen = self.settings.listen
+        host, port = listen.callers_address
+        steps = {
+            "agent": self.agent.start(),
+            f"peer port {listen.peer_port}": self.network.start(
+                self.vm.host, listen.peer_port
+            ),
+            f"callers' port {port}": self._serve(
+                self.http.app, host, port, IngressProtocol
+            ),
+        }
+        for app, (host, port) in self._platform.make_apps(self):
+            steps[f"port {port}"] = self._serve(app, host, port)
+        errors = await run_steps(steps, StartError)
+        if errors:
+            with contextlib.suppress(ExceptionGroup):
+                await self.stop()
+            raise ExceptionGroup("daemon could not start", errors)
+        for run in (
+            self._config_follower.run,
+            self.registry.follower.run,
+            self.registry.run,
+            self._keeper.run,
+        ):
+            self._tasks.append(asyncio.create_task(supervise(run)))
+
+    async def _serve(self, app, host, port, protocol=None):
+        self._servers.append(await serve_app(app, host, port, protocol))
+
+    def reload(self):
+        """Take note of changed settings; what they hold is read at the next start."""
+        event(log, "settings_changed", vm=self.vm_id, applied="at next start")
+
+    def announced(self, endpoint):
+        """Take note of what an endpoint beside this daemon has said."""
+        marked = self.watch.marked(endpoint)
+        if not self.directory.put_endpoint(marked):
+            return
+        event(
+            log,
+            "endpoint_announced",
+            endpoint=endpoint.endpoint_id,
+            service=endpoint.service,
+            incarnation=endpoint.incarnation,
+            state=endpoint.state.value,
+        )
+        self.registry.announce()
+        if endpoint.state is EndpointState.READY:
+            self.agent.announce_load(marked)
+
+    def _busy(self):
+        """Return True while work is in flight here or answers wait to be sent."""
+        in_flight = self.agent.in_flight or self.http.in_flight
+        return bool(in_flight) or self.network.unsent() > 0
+
+    async def drain(self):
+        """Tell the peers, take no new work, and finish what is in flight.
+
+        Callers learn by the readiness check that they are to go elsewhere; until
+        then, and while endpoints here still make calls, they are served.
+        """
+        event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
+        loop = asyncio.get_running_loop()
+        limit = loop.time() + self.settings.limits.stop_timeout_s
+        self._stopping = True
+        self.agent.stopping = True
+        self.network.broadcast(msgs.Leaving(self.vm_id))
+        leave = asyncio.create_task(
+            self.registry.leave(self.settings.limits.stop_timeout_s)
+        )
+        await asyncio.sleep(self.settings.listen.drain_s)
+        while self.agent.in_flight and loop.time() < limit:
+            await asyncio.sleep(STOP_POLL_S)
+        self.http.refuse_new_work()
+        while self._busy() and loop.time() < limit:
+            await asyncio.sleep(STOP_POLL_S)
+        await asyncio.gather(*map(close_listener, self._servers))
+        for server in self._servers:
+            await self.http.close_idle(server, limit)
+        leave.cancel()
+        await asyncio.gather(leave, return_exceptions=True)
+        if self._busy():
+            event(
+                log,
+                "stop_timeout",
+                logging.ERROR,
+                in_flight=self.agent.in_flight + self.http.in_flight,
+            )
+
+    async def stop(self):
+        """Close all ports and links and end all tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers:
+            server.close()
+        steps = {"agent": self.agent.stop(), "peer network": self.network.stop()}
+        errors = await run_steps(steps, StopError)
+        if errors:
+            raise ExceptionGroup("daemon did not stop properly", errors)
+
+    def _on_config(self, records):
+        for record in records:
+            if record.key != self._platform.config_format.key or not record.value:
+                continue
+            try:
+                config = self._platform.config_format.decode(record.value)
+            except ConfigError as exc:
+                event(log, "config_unreadable", logging.ERROR, detail=exc)
+                continue
+            self._use_config(config, "store")
+
+    def _use_config(self, config, source):
+        old = self.routing.revision
+        if not self.routing.use(config):
+            return
+        self.http.use_bounds(config.bounds)
+        event(
+            log,
+            "config_in_force",
+            revision=config.revision,
+            previous=old,
+            routes=len(config.routes),
+            source=source,
+        )
+
+    def _on_leaving(self, link, msg):
+        vm = self.directory.vms.get(VmId(msg.vm_id))
+        if vm is not None and link.vm_id == vm.vm_id:
+            event(log, "peer_leaving", vm=vm.vm_id)
+            self.directory.put_vm(dataclasses.replace(vm, state=VmState.LEAVING))
+
+    def _address(self, vm_id):
+        vm = self.directory.vms.get(vm_id)
+        return None if vm is None else (vm.host, vm.peer_port)
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -10,25 +10,31 @@
 from dandelionarch.errors import SettingsError
 
 Port = pydantic.Field(ge=1, le=65_535)
+ADDRESS = r"^[A-Za-z0-9_.-]+:[0-9]{1,5}$"
 
 
 class _Section(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
-class DaemonSection(_Section):
-    """`[daemon]`: who and where this daemon is."""
+class VmSection(_Section):
+    """Who and where a daemon is."""
 
     vm: str = pydantic.Field(pattern=r"^[a-z0-9-]{1,63}$")
     data_centre: str = pydantic.Field(pattern=r"^[a-z0-9-]{1,63}$")
     region: str = pydantic.Field(default="default", pattern=r"^[a-z0-9-]{1,63}$")
     host: str = "127.0.0.1"
+    shared_key: str = pydantic.Field(min_length=16, max_length=256)
+
+
+class DaemonSection(VmSection):
+    """`[daemon]` of a daemon with gossip membership."""
+
     ingress_port: int = Port
     peer_port: int = Port
     gossip_port: int = Port
     admin_port: int = Port
     seeds: str = ""
-    shared_key: str = pydantic.Field(min_length=16, max_length=256)
     log_url: str = pydantic.Field(pattern=r"^https?://")
 
     @pydantic.field_validator("seeds")
@@ -47,6 +53,49 @@
         return [(host, int(port)) for host, _, port in pairs if host]
 
 
+class ListenSection(_Section):
+    """`[listen]`: addresses of a daemon that uses a registry, as HOST:PORT.
+
+    `callers` takes requests, `reports` what the endpoint beside it says of itself,
+    `readiness` the checks that tell callers where to go. A stopping daemon serves
+    callers for `drain_s` more, until these checks have taken effect.
+    """
+
+    callers: str = pydantic.Field(pattern=ADDRESS)
+    reports: str = pydantic.Field(pattern=ADDRESS)
+    readiness: str = pydantic.Field(pattern=ADDRESS)
+    peer_port: int = Port
+    drain_s: float = pydantic.Field(default=2.5, ge=0, le=600)
+
+    @property
+    def callers_address(self):
+        """Return (host, port) for callers' requests."""
+        return split_address(self.callers)
+
+    @property
+    def reports_address(self):
+        """Return (host, port) for endpoints' reports."""
+        return split_address(self.reports)
+
+    @property
+    def readiness_address(self):
+        """Return (host, port) for readiness checks."""
+        return split_address(self.readiness)
+
+
+class EndpointSection(_Section):
+    """`[endpoint]`: the endpoint beside the daemon; empty while there is none."""
+
+    address: str = pydantic.Field(default="", pattern=rf"{ADDRESS}|^$")
+    service: str = ""
+
+
+class StoreSection(_Section):
+    """`[store]`: the platform's store, as HOST:PORT."""
+
+    address: str = pydantic.Field(pattern=ADDRESS)
+
+
 class LogSection(_Section):
     """`[log]`: how long the platform's log keeps records.
 
@@ -119,8 +168,61 @@
 }
 
 
+class RegistrySettings(pydantic.BaseModel):
+    """All settings of a daemon that uses a registry."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    daemon: VmSection
+    listen: ListenSection
+    endpoint: EndpointSection = EndpointSection()
+    store: StoreSection
+    limits: LimitsSection = LimitsSection()
+    logs: LogsSection = LogsSection()
+
+
+REGISTRY_SECTIONS = {
+    "daemon": VmSection,
+    "listen": ListenSection,
+    "endpoint": EndpointSection,
+    "store": StoreSection,
+    "limits": LimitsSection,
+    "logs": LogsSection,
+}
+REQUIRED = ("daemon", "listen", "store")
+
+
+def split_address(address):
+    """Return (host, port) of a HOST:PORT text."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def read_settings(path):
-    """Read and check a settings file.
+    """Read and check the settings file of a daemon with gossip membership.
+
+    Raises
+    ------
+    SettingsError
+        With file, section, option and accepted range.
+    """
+    file = os.path.basename(path)
+    parts = read_sections(path, SECTIONS, ("daemon",))
+    settings = Settings(**parts)
+    _check_window(file, settings)
+    return settings
+
+
+def read_sections(path, models, required):
+    """Return the checked sections of an INI file by title.
+
+    Parameters
+    ----------
+    path : str
+    models : dict of str to pydantic model
+        The known sections.
+    required : sequence of str
+        Titles that must be there.
 
     Raises
     ------
@@ -136,18 +238,15 @@
         raise SettingsError(file, "-", "-", str(exc).replace("\n", " ")) from exc
     parts = {}
     for title in parser.sections():
-        if title not in SECTIONS:
-            known = ", ".join(SECTIONS)
+        if title not in models:
+            known = ", ".join(models)
             raise SettingsError(file, title, "-", f"unknown section; known: {known}")
         options = dict(parser[title])
-        parts[title] = parse_section(
-            file, title, SECTIONS[title], options, SettingsError
-        )
-    if "daemon" not in parts:
-        raise SettingsError(file, "daemon", "-", "section is missing")
-    settings = Settings(**parts)
-    _check_window(file, settings)
-    return settings
+        parts[title] = parse_section(file, title, models[title], options, SettingsError)
+    for title in required:
+        if title not in parts:
+            raise SettingsError(file, title, "-", "section is missing")
+    return parts
 
 
 def _check_window(file, settings):
--- a/dandelionarch/daemon/tcplink.py
+++ b/dandelionarch/daemon/tcplink.py
@@ -105,6 +105,7 @@
         self._expiry = None
         self._pings = 0
         self._pinged_at = 0.0
+        self._probing = False
 
     def connection_made(self, transport):
         self._transport = transport
@@ -122,6 +123,7 @@
         if self.muted:
             return
         self.last_received = self._network.now()
+        self._probing = False
         self._buffer += data
         try:
             while not self.closed and self._take():
@@ -176,8 +178,13 @@
 
     def check(self, now):
         """Ping an idle peer that owes replies; close the link if it is silent."""
+        if self.closed:
+            return
         idle_s = now - self.last_received
-        if not self.outstanding or self.closed or idle_s < PING_IDLE_S:
+        if not self.outstanding and not self._probing:
+            self._probe(now, idle_s)
+            return
+        if idle_s < PING_IDLE_S:
             return
         if idle_s >= SILENT_S:
             event(
@@ -195,6 +202,17 @@
             self._pings += 1
             self.send(Ping(self._pings))
 
+    def _probe(self, now, idle_s):
+        """Ping the peer of an unused link that this side has opened."""
+        period_s = self._network.idle_ping_s
+        if period_s is None or not self.dialled or idle_s < period_s:
+            return
+        self._probing = True
+        self.last_received = now
+        self._pinged_at = now
+        self._pings += 1
+        self.send(Ping(self._pings))
+
     def close(self):
         if self.closed:
             return
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -86,6 +86,10 @@
     """No connection to the log service came about, so nothing was sent."""
 
 
+class PlatformRefusedError(PlatformError):
+    """The platform answered that it did nothing."""
+
+
 class NoCheckpointError(PlatformError):
     """The log starts after the first record and holds no usable checkpoint."""
 
@@ -112,6 +116,10 @@
     """A body exceeds the size limit."""
 
 
+class ConfigError(DandelionError):
+    """A configuration from the operator can't be read."""
+
+
 class StreamError(DandelionError):
     """A stream of the log or a copy of it can't be used."""
 
--- /dev/null
+++ b/dandelionarch/platform/main.py
@@ -0,0 +1,80 @@
+"""Entry point of the daemon on the users' platform."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import uvloop
+
+from dandelionarch.core.directory import Directory
+from dandelionarch.daemon.registry_app import Platform, RegistryDaemon
+from dandelionarch.daemon.settings import (
+    REGISTRY_SECTIONS,
+    REQUIRED,
+    RegistrySettings,
+    read_sections,
+    split_address,
+)
+from dandelionarch.errors import DandelionError
+from dandelionarch.logs import setup_logs
+from dandelionarch.platform.config import OperatorConfig
+from dandelionarch.platform.control import make_apps
+from dandelionarch.platform.http_forms import PlatformCallers, PlatformDialect
+from dandelionarch.platform.store import StoreClient
+
+SETTINGS_VARIABLE = "DANDELIONARCH_BOOT"
+OPERATOR_TOPIC = "keyed.op"
+REGISTRY_TOPIC = "keyed.fleet"
+
+
+def read_settings():
+    """Return the settings whose file the platform names."""
+    path = os.environ.get(SETTINGS_VARIABLE, "/etc/dandelionarch/node.conf")
+    parts = read_sections(path, REGISTRY_SECTIONS, REQUIRED)
+    return RegistrySettings(**parts)
+
+
+async def serve(settings):
+    """Run a daemon until SIGTERM or SIGINT."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, stop.set)
+    client = StoreClient(*split_address(settings.store.address))
+    platform = Platform(
+        client.topic(OPERATOR_TOPIC),
+        OperatorConfig(),
+        client.topic(REGISTRY_TOPIC),
+        PlatformCallers(settings.endpoint.service),
+        PlatformDialect(),
+        make_apps,
+    )
+    daemon = RegistryDaemon(settings, platform, Directory())
+    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
+    await client.start()
+    try:
+        await daemon.run(stop)
+    finally:
+        await client.stop()
+
+
+def main():
+    """Read the settings and serve; return the exit code."""
+    try:
+        settings = read_settings()
+    except DandelionError as exc:
+        print(f"dandelion-daemon: {exc}", file=sys.stderr)
+        return exc.exit_code
+    setup_logs(settings.logs.level, settings.logs.style, sys.stdout)
+    try:
+        uvloop.run(serve(settings))
+    except ExceptionGroup as group:
+        for exc in group.exceptions:
+            print(f"dandelion-daemon: {exc}", file=sys.stderr)
+        return max(getattr(exc, "exit_code", 1) for exc in group.exceptions)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/dandelionarch/platform/store.py
@@ -0,0 +1,204 @@
+"""The platform's metadata store: topics of keyed records over HTTP."""
+
+import base64
+import binascii
+import logging
+import socket
+import struct
+from dataclasses import dataclass
+
+import aiohttp
+
+from dandelionarch.core.keyed_log import Batch, KeyedLog, KeyedRecord
+from dandelionarch.errors import (
+    OffsetTruncatedError,
+    PlatformRefusedError,
+    PlatformUnavailableError,
+    PlatformUnreachableError,
+)
+from dandelionarch.ids import Offset
+from dandelionarch.logs import event
+from dandelionarch.platform.json_forms import FormError, field, parse
+
+log = logging.getLogger(__name__)
+
+# The store answers in some 4 ms, and up to 60 times slower on a bad day.
+CALL_TIMEOUT_S = 2.0
+CONNECT_TIMEOUT_S = 1.0
+# The store is one partition per keyed topic.
+PARTITION = 0
+MAX_READ_KB = 1024
+LENGTH = struct.Struct("!I")
+OFFSETS = struct.Struct("!QQ")
+# A connection that something on the way has forgotten shows only by its own probes;
+# a long read would otherwise wait on it to its end.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+USER_TIMEOUT_MS = 2500
+
+
+class StoreClient:
+    """The one client of the store.
+
+    Parameters
+    ----------
+    host : str
+    port : int
+    """
+
+    def __init__(self, host, port):
+        self._url = f"http://{host}:{port}/-/"
+        self._session = None
+
+    async def start(self):
+        """Open the connection pool."""
+        connector = aiohttp.TCPConnector(limit=0, socket_factory=_open_socket)
+        self._session = aiohttp.ClientSession(connector=connector)
+
+    async def stop(self):
+        """Close the connection pool."""
+        if self._session is not None:
+            await self._session.close()
+
+    def topic(self, name):
+        """Return a `KeyedLog` of the store."""
+        return StoreTopic(self, name)
+
+    async def call(self, method, path, params, data=None, wait_s=0.0):
+        """Make a call and return its body.
+
+        Raises
+        ------
+        PlatformRefusedError
+            If the store answered that it did nothing.
+        PlatformUnreachableError
+            If no connection came about.
+        PlatformUnavailableError
+            If no answer came; the call may have taken effect or may yet.
+        OffsetTruncatedError
+            If records that were asked for have been deleted.
+        """
+        timeout = aiohttp.ClientTimeout(
+            total=CALL_TIMEOUT_S + wait_s, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self._session.request(
+                method, self._url + path, params=params, data=data, timeout=timeout
+            ) as resp:
+                if resp.status == 410:
+                    raise OffsetTruncatedError((await resp.json())["first"])
+                if resp.status != 200:
+                    raise PlatformRefusedError(f"store: {path}: status {resp.status}")
+                return await resp.read()
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise PlatformUnreachableError(f"store: {path}: {exc}") from exc
+        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+            detail = str(exc) or type(exc).__name__
+            raise PlatformUnavailableError(f"store: {path}: {detail}") from exc
+        except (KeyError, ValueError) as exc:
+            raise PlatformUnavailableError(f"store: {path}: bad reply: {exc}") from exc
+
+
+class StoreTopic(KeyedLog):
+    """One keyed topic of the store."""
+
+    def __init__(self, client, name):
+        self.name = name
+        self._client = client
+
+    async def newest(self):
+        records, after, end = [], None, None
+        while True:
+            params = {"topic": self.name, "part": PARTITION}
+            if after is not None:
+                params["after"] = after
+            page = _decode_page(await self._client.call("GET", "log-newest", params))
+            records += page.records
+            # Pages are no snapshot: what changed meanwhile is read from here on.
+            end = page.end if end is None else end
+            if page.next_key is None:
+                return Batch(tuple(records), end)
+            after = page.next_key
+
+    async def read(self, offset, wait_s):
+        params = {
+            "topic": self.name,
+            "part": PARTITION,
+            "from": offset,
+            "max_kb": MAX_READ_KB,
+            "wait_ms": int(wait_s * 1000),
+        }
+        data = await self._client.call("GET", "log-read", params, wait_s=wait_s)
+        return _decode_read(data, offset)
+
+    async def append(self, record):
+        key = record.key.encode()
+        raw = bytes([len(key)]) + key + record.value
+        params = {"topic": self.name, "part": PARTITION}
+        data = LENGTH.pack(len(raw)) + raw
+        await self._client.call("POST", "log-append", params, data=data)
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """One page of the newest records; `next_key` continues it, None at the end."""
+
+    records: tuple[KeyedRecord, ...]
+    end: Offset
+    next_key: str | None
+
+
+def _decode_page(data):
+    try:
+        body = parse(data)
+        items = field(body, "items", list)
+        records = tuple(_decode_item(item) for item in items)
+        end = Offset(field(body, "end", int))
+        more = field(body, "more", bool, False)
+    except (FormError, binascii.Error) as exc:
+        raise PlatformUnavailableError(f"store: bad page: {exc}") from exc
+    return Page(records, end, records[-1].key if more and records else None)
+
+
+def _decode_item(item):
+    if not isinstance(item, dict):
+        raise FormError("item is not an object")
+    value = base64.b64decode(field(item, "value", str))
+    return KeyedRecord(field(item, "key", str), value)
+
+
+def _decode_read(data, offset):
+    if len(data) < OFFSETS.size:
+        raise PlatformUnavailableError("store: answer to a read is too short")
+    records, at = [], OFFSETS.size
+    while at + LENGTH.size <= len(data):
+        size = LENGTH.unpack_from(data, at)[0]
+        at += LENGTH.size
+        if at + size > len(data):
+            raise PlatformUnavailableError("store: record is cut off")
+        records.append(_decode_record(data[at : at + size]))
+        at += size
+    known = tuple(record for record in records if record is not None)
+    return Batch(known, Offset(offset + len(records)))
+
+
+def _decode_record(raw):
+    """Return the record in a keyed topic's entry, or None if it is no such entry."""
+    if not raw or len(raw) < 1 + raw[0]:
+        event(log, "record_unreadable", logging.WARNING, size=len(raw))
+        return None
+    key_end = 1 + raw[0]
+    return KeyedRecord(raw[1:key_end].decode("utf-8", "replace"), raw[key_end:])
+
+
+def _open_socket(addr_info):
+    family, kind, proto, _, _ = addr_info
+    sock = socket.socket(family, kind, proto)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    return sock
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from dandelionarch.daemon import app
+from dandelionarch.daemon import parts
 
 
 class TestSupervision:
@@ -10,7 +10,7 @@
 
     def test_failed_task_runs_again(self, monkeypatch):
         """Guards against a daemon that goes on without one of its parts."""
-        monkeypatch.setattr(app, "RESTART_DELAY_S", 0.0)
+        monkeypatch.setattr(parts, "RESTART_DELAY_S", 0.0)
         runs = []
 
         async def part():
@@ -18,5 +18,5 @@
             if len(runs) < 3:
                 raise ValueError("fault")
 
-        asyncio.run(app._supervise(part))
+        asyncio.run(parts.supervise(part))
         assert runs == [0, 1, 2]
