--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -218,7 +218,9 @@
     ):
         job = self._job(item, now, key, deadline, priority)
         if self._may_start(job):
-            if self.rules.refuse_late and now + job.high_s > deadline:
+            # A free slot is used unless the work most likely ends too late; a first
+            # slow run must not lock its kind of work out for good.
+            if self.rules.refuse_late and now + self.costs.typical(key) > deadline:
                 return "refuse"
             self._start(job, now)
             return "run"
--- a/dandelionarch/core/costs.py
+++ b/dandelionarch/core/costs.py
@@ -8,6 +8,7 @@
 DEFAULT_COST_S = 0.05
 MEDIAN_WINDOW = 127
 RESIDUAL_WINDOW = 255
+MIN_TAIL_SAMPLES = 20
 # One straggler may not make its kind of work look many times dearer.
 MAX_DEVIATION = math.log(8)
 LONG_FACTOR = 4.0
@@ -57,10 +58,22 @@
 
     @property
     def high_s(self):
-        """Return the service time that 19 of 20 recent runs did not exceed."""
+        """Return the service time that 19 of 20 recent runs did not exceed.
+
+        Of fewer runs one straggler would be the whole tail, so half as much again as
+        the median bounds it.
+        """
         times = self._recent.sorted
+        if len(times) < MIN_TAIL_SAMPLES:
+            return min(times[-1], 1.5 * self.median_s)
         return times[int(0.95 * len(times))]
 
+    @property
+    def median_s(self):
+        """Return the median of the recent service times."""
+        times = self._recent.sorted
+        return times[len(times) // 2]
+
     def observe(self, seconds):
         """Take note of one service time."""
         self._recent.add(seconds)
@@ -99,6 +112,11 @@
         estimate = self._estimates.get(key)
         return self._default_s if estimate is None else estimate.high_s
 
+    def typical(self, key):
+        """Return the median service time of a kind of work in seconds."""
+        estimate = self._estimates.get(key)
+        return self._default_s if estimate is None else estimate.median_s
+
     def median(self):
         """Return the median of the recent service times in seconds, or None."""
         times = self._recent.sorted
--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -12,7 +12,7 @@
 
 
 # The connection failed, not the endpoint: the same endpoint may be tried again.
-LINK_FAULTS = frozenset({Reason.LINK_LOST, Reason.WORKER_LINK})
+LINK_FAULTS = frozenset({Reason.LINK_LOST, Reason.WORKER_LINK, Reason.WORKER_SILENT})
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +77,8 @@
     reserve : callable
         Returns a function that gives a reserved redirect back, or None if there is
         none. With one, the first endpoint may turn the request away if it is busy.
+    reserve_hedge : callable, optional
+        The same for a second attempt beside a straggling one; `reserve` by default.
     """
 
     def __init__(
@@ -89,6 +91,7 @@
         retry_after=None,
         replayable=lambda: True,
         reserve=lambda: None,
+        reserve_hedge=None,
     ):
         self.work = work
         self.deadline = deadline
@@ -105,6 +108,7 @@
         self._may_retry = may_retry
         self._retry_after = retry_after or self._spread
         self._reserve = reserve
+        self._reserve_hedge = reserve_hedge
         self._give_back = None
         self._least_s = 0.0
         self._replayable = replayable
@@ -151,8 +155,7 @@
             return None
         if now >= self.deadline or self._exhausted(running=1):
             return None
-        give_back = self._give_back or self._reserve()
-        self._give_back = None
+        give_back = self._take_hedge()
         if give_back is None:
             return None
         decision = self._choose(self.work, frozenset(self.tried))
@@ -164,17 +167,38 @@
         self.tried.add(endpoint.endpoint_id)
         return Dispatch(endpoint, decision)
 
+    def _take_hedge(self):
+        if self._reserve_hedge is not None:
+            return self._reserve_hedge()
+        give_back = self._give_back or self._reserve()
+        self._give_back = None
+        return give_back
+
     def one_failed(self):
         """Note that one of two attempts failed after it may have run."""
         self._may_have_run = True
         self._reached += 1
 
     def answered(self):
-        """Handle a whole answer."""
+        """Handle an answer that is to be delivered."""
         self.finished = True
         self._settle()
         return Deliver(whole=True)
 
+    def error_answered(self, now):
+        """Handle an endpoint's answer that it has failed.
+
+        Idempotent work is tried elsewhere, as an error may be the endpoint's own;
+        the caller keeps this answer in case no better one comes.
+        """
+        if not self.work.idempotent:
+            return self.answered()
+        self._may_have_run = True
+        self._reached += 1
+        self._settle()
+        command = self._again(Reason.ENDPOINT_ERROR, now, proven=False)
+        return command if isinstance(command, Dispatch) else self.answered()
+
     def _settle(self):
         if self._give_back is not None:
             self._give_back()
--- a/dandelionarch/core/outcome.py
+++ b/dandelionarch/core/outcome.py
@@ -27,6 +27,8 @@
     WORKER_UNREACHABLE = "worker_unreachable"
     WORKER_FAILED = "worker_failed"
     WORKER_LINK = "worker_link"
+    WORKER_SILENT = "worker_silent"
+    ENDPOINT_ERROR = "endpoint_error"
     TRUNCATED = "truncated"
     CALLER_BODY = "caller_body"
     IN_FLIGHT_LIMIT = "in_flight_limit"
--- a/dandelionarch/core/retries.py
+++ b/dandelionarch/core/retries.py
@@ -2,6 +2,7 @@
 
 import math
 from collections import deque
+from dataclasses import dataclass
 
 from dandelionarch.core.outcome import Reason
 
@@ -12,6 +13,9 @@
 # Redirects from busy endpoints leave the rest of the budget to real failures.
 RESERVE_SHARE = 0.08
 OVERLOAD_SHARE = 0.05
+# Part of the fleet's budget that is used: a part's requests and its further attempts
+# need not fall into the same window of the whole.
+USED_SHARE = 0.8
 RETURN_SHARE = 0.5
 RETURN_MIN_S = 1.0
 RETURN_MAX_S = 120.0
@@ -24,10 +28,11 @@
 
 
 class SlidingCount:
-    """Count of events in the last `WINDOW_S` seconds, kept by whole seconds."""
+    """Count of events in the last `window_s` seconds, kept by whole seconds."""
 
-    def __init__(self):
+    def __init__(self, window_s=WINDOW_S):
         self.total = 0
+        self._window_s = window_s
         self._seconds = deque()
 
     def add(self, now):
@@ -49,7 +54,7 @@
 
     def expire(self, now):
         """Forget what has left the window."""
-        oldest = math.floor(now) - WINDOW_S
+        oldest = math.floor(now) - self._window_s
         while self._seconds and self._seconds[0][0] <= oldest:
             self.total -= self._seconds.popleft()[1]
 
@@ -62,10 +67,12 @@
     endpoint's drain thus costs no request its redirect.
     """
 
-    def __init__(self):
-        self._first = SlidingCount()
-        self._further = SlidingCount()
-        self._refused = SlidingCount()
+    redirects_are_free = False
+
+    def __init__(self, window_s=WINDOW_S):
+        self._first = SlidingCount(window_s)
+        self._further = SlidingCount(window_s)
+        self._refused = SlidingCount(window_s)
 
     def first(self, now):
         """Take note of a request's first attempt."""
@@ -87,9 +94,16 @@
             count.expire(now)
         if reason in LOAD_REASONS:
             self._refused.add(now)
-        if proven and reason not in LOAD_REASONS and not self.overloaded:
+        if proven and self._is_free(reason):
             return True
-        return self._take(now) is not None
+        return self._take(now, self._allowed(RETRY_SHARE)) is not None
+
+    def _is_free(self, reason):
+        return reason not in LOAD_REASONS and not self.overloaded
+
+    def _allowed(self, share):
+        """Return how many further attempts the window may hold."""
+        return max(FLOOR, share * self._first.total)
 
     def reserve(self, now):
         """Return a function that gives a reserved attempt back, or None if refused.
@@ -98,13 +112,13 @@
         """
         for count in (self._first, self._further):
             count.expire(now)
-        second = self._take(now, RESERVE_SHARE)
+        second = self._take(now, self._allowed(RESERVE_SHARE))
         if second is None:
             return None
         return lambda: self._further.remove(second)
 
-    def _take(self, now, share=RETRY_SHARE):
-        if self._further.total + 1 > max(FLOOR, share * self._first.total):
+    def _take(self, now, allowed):
+        if self._further.total + 1 > allowed:
             return None
         return self._further.add(now)
 
@@ -114,6 +128,46 @@
         return self._refused.total > max(FLOOR, OVERLOAD_SHARE * self._first.total)
 
 
+@dataclass(frozen=True, slots=True)
+class FleetBudget:
+    """Further attempts at the endpoints of one service that a whole fleet may make.
+
+    In each window of `window_s` seconds `ratio` per request and `slack` more.
+    """
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+class FleetShareBudget(RetryBudget):
+    """One ingress's part of a `FleetBudget`.
+
+    A refusal by an agent reaches no endpoint, so redirects on one are free.
+
+    Parameters
+    ----------
+    budget : FleetBudget
+    daemons : callable
+        Returns how many daemons share the slack.
+    """
+
+    redirects_are_free = True
+
+    def __init__(self, budget, daemons):
+        # Whole seconds are counted; the oldest one is partly outside the window.
+        super().__init__(budget.window_s + 1)
+        self._budget = budget
+        self._daemons = daemons
+
+    def _is_free(self, reason):
+        return reason is not Reason.WORKER_REFUSED
+
+    def _allowed(self, share):
+        part = self._budget.slack / max(1, self._daemons())
+        return USED_SHARE * (part + self._budget.ratio * self._first.total)
+
+
 class ReturnSchedule:
     """Spreads the times at which refused callers are asked to return.
 
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -313,7 +313,7 @@
             return Reason.WORKER_UNREACHABLE
         except TimeoutError:
             silent = run.call.reused and not run.call.answered
-            return Reason.WORKER_LINK if silent else Reason.DEADLINE
+            return Reason.WORKER_SILENT if silent else Reason.DEADLINE
         except WorkerLostError:
             return Reason.WORKER_LINK if run.call.reused else Reason.WORKER_FAILED
         except (aiohttp.ClientPayloadError, BrokenAnswerError) as exc:
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -5,6 +5,7 @@
 import itertools
 import logging
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from dandelionarch.core.hedging import HedgeDelays
@@ -18,6 +19,7 @@
 from dandelionarch.core.world import Health
 from dandelionarch.daemon.agent import CHUNK_BYTES
 from dandelionarch.daemon.attempt import Answer, AttemptStream, CallerFault, LinkLost
+from dandelionarch.daemon.watch import SERVER_ERROR
 from dandelionarch.errors import CallerBodyError, LinkError
 from dandelionarch.logs import event
 
@@ -34,11 +36,12 @@
 
     `trial_share` is the share of idempotent requests that try unhealthy endpoints.
     With `links_kept_open` a link is opened before it is needed, so that one that is
-    not open is a fault.
+    not open is a fault. `make_budget` returns the retry budget of one service.
     """
 
     trial_share: float = TRIAL_SHARE
     links_kept_open: bool = False
+    make_budget: Callable[[], RetryBudget] = RetryBudget
 
 
 class Ingress:
@@ -50,7 +53,7 @@
         self._directory = directory
         self._rng = rng or random.Random()
         self._policy = TwoChoices()
-        self._retries = RetryBudget()
+        self._budgets = {}
         self._returns = ReturnSchedule()
         self._hedging = HedgeDelays()
         self._attempt_ids = itertools.count(1)
@@ -93,22 +96,25 @@
             If the caller's body could not be read to its end.
         """
         loop = asyncio.get_running_loop()
+        budget = self._budget(work.service)
         life = RequestLife(
             work,
             self._choose,
             deadline,
             self._rng,
-            lambda reason, proven: self._retries.may_retry(loop.time(), reason, proven),
+            lambda reason, proven: budget.may_retry(loop.time(), reason, proven),
             self.retry_after_s,
             req.replayable,
-            lambda: self._reserve(req),
+            lambda: self._reserve_redirect(budget, req),
+            self._hedge_reserve(budget),
         )
-        self._retries.first(loop.time())
+        budget.first(loop.time())
         await self._learn_endpoints(work.service, deadline)
         command = life.start(loop.time())
         while isinstance(command, Dispatch):
             command = await self._attempt(life, work, req, command)
-        if isinstance(command, Deliver):
+        if isinstance(command, Deliver) or life.answer is not None:
+            # An endpoint's error that no further attempt has bettered is an answer.
             self._returns.answered(loop.time())
             return life.answer
         if command.reason is Reason.CALLER_BODY:
@@ -122,11 +128,25 @@
         left_s = deadline - asyncio.get_running_loop().time()
         await self.fetch_endpoints(service, max(0.0, min(FETCH_TIMEOUT_S, left_s)))
 
-    def _reserve(self, req):
+    def _reserve_redirect(self, budget, req):
         """Reserve a redirect for a request that goes to its agent in one message."""
         if not _inline(req):
             return None
-        return self._retries.reserve(asyncio.get_running_loop().time())
+        if budget.redirects_are_free:
+            return lambda: None
+        return budget.reserve(asyncio.get_running_loop().time())
+
+    def _hedge_reserve(self, budget):
+        """Return what reserves a second attempt if no redirect was reserved for it."""
+        if not budget.redirects_are_free:
+            return None
+        return lambda: budget.reserve(asyncio.get_running_loop().time())
+
+    def _budget(self, service):
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = self._rules.make_budget()
+        return budget
 
     def retry_after_s(self, least_s=0.0):
         """Return the `Retry-After` of a refusal given now, in seconds."""
@@ -326,6 +346,8 @@
             if not last:
                 stream.credit(len(msg.data))
         life.answer = Answer(head, stream, b"".join(body), last)
+        if last and life.answer.status >= SERVER_ERROR:
+            return life.error_answered(loop.time()), last
         return life.answered(), last
 
     def close(self, stream, cancel):
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -14,6 +14,7 @@
 from abc import ABC, abstractmethod
 
 from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.retries import FleetBudget, FleetShareBudget
 from dandelionarch.core.routing_config import ActiveRouting
 from dandelionarch.core.world import EndpointState, Vm, VmState
 from dandelionarch.daemon.agent import Agent
@@ -96,6 +97,7 @@
         self._platform = platform
         self._rng = random.Random()
         self._stopping = False
+        self._most_vms = 1
         self._build_path(cfg)
         self._build_state()
         self._servers = []
@@ -116,12 +118,25 @@
             self.directory,
             self.agent,
             self._rng,
-            IngressRules(trial_share=TRIAL_SHARE, links_kept_open=True),
+            IngressRules(TRIAL_SHARE, True, self._make_budget),
         )
         self.http = IngressHttp(
             self.ingress, self._platform.callers, self.routing, self.settings.limits
         )
 
+    def _make_budget(self):
+        cfg = self.settings.retries
+        budget = FleetBudget(cfg.ratio, cfg.slack, cfg.window_s)
+        return FleetShareBudget(budget, self._daemons_known)
+
+    def _daemons_known(self):
+        """Return the greatest number of living VMs that was known at once.
+
+        Those that are cut off from here go on spending their part.
+        """
+        self._most_vms = max(self._most_vms, len(self.directory.living_vms()))
+        return self._most_vms
+
     def _build_state(self):
         platform = self._platform
         self.registry = RegistryService(
@@ -221,14 +236,12 @@
         """
         event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
         loop = asyncio.get_running_loop()
-        limit = loop.time() + self.settings.limits.stop_timeout_s
+        limit = loop.time() + self.settings.stop.timeout_s
         self._stopping = True
         self.agent.stopping = True
         self.network.broadcast(msgs.Leaving(self.vm_id))
-        leave = asyncio.create_task(
-            self.registry.leave(self.settings.limits.stop_timeout_s)
-        )
-        await asyncio.sleep(self.settings.listen.drain_s)
+        leave = asyncio.create_task(self.registry.leave(self.settings.stop.timeout_s))
+        await asyncio.sleep(self.settings.stop.drain_s)
         while self.agent.in_flight and loop.time() < limit:
             await asyncio.sleep(STOP_POLL_S)
         self.http.refuse_new_work()
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -10,6 +10,8 @@
 from dandelionarch.errors import SettingsError
 
 Port = pydantic.Field(ge=1, le=65_535)
+# Left of the time until a process is killed for closing its sockets.
+CLOSE_S = 0.7
 ADDRESS = r"^[A-Za-z0-9_.-]+:[0-9]{1,5}$"
 
 
@@ -57,15 +59,13 @@
     """`[listen]`: addresses of a daemon that uses a registry, as HOST:PORT.
 
     `callers` takes requests, `reports` what the endpoint beside it says of itself,
-    `readiness` the checks that tell callers where to go. A stopping daemon serves
-    callers for `drain_s` more, until these checks have taken effect.
+    `readiness` the checks that tell callers where to go.
     """
 
     callers: str = pydantic.Field(pattern=ADDRESS)
     reports: str = pydantic.Field(pattern=ADDRESS)
     readiness: str = pydantic.Field(pattern=ADDRESS)
     peer_port: int = Port
-    drain_s: float = pydantic.Field(default=2.5, ge=0, le=600)
 
     @property
     def callers_address(self):
@@ -96,6 +96,33 @@
     address: str = pydantic.Field(pattern=ADDRESS)
 
 
+class StopSection(_Section):
+    """`[stop]`: what a planned stop has to keep.
+
+    Callers are served for `drain_s` more, until their readiness checks have taken
+    effect; the process is killed `kill_after_s` after it was told to stop.
+    """
+
+    drain_s: float = pydantic.Field(default=2.5, ge=0, le=600)
+    kill_after_s: float = pydantic.Field(default=30.0, ge=1, le=3600)
+
+    @property
+    def timeout_s(self):
+        """Return until when requests in flight are waited for."""
+        return max(0.0, self.kill_after_s - CLOSE_S)
+
+
+class RetriesSection(_Section):
+    """`[retries]`: attempts after the first that a whole fleet may make per service.
+
+    In `window_s` seconds `ratio` per request, and `slack` more.
+    """
+
+    ratio: float = pydantic.Field(default=0.1, ge=0, le=10)
+    slack: float = pydantic.Field(default=10.0, ge=0, le=1_000_000)
+    window_s: float = pydantic.Field(default=10.0, ge=1, le=3600)
+
+
 class LogSection(_Section):
     """`[log]`: how long the platform's log keeps records.
 
@@ -177,6 +204,8 @@
     listen: ListenSection
     endpoint: EndpointSection = EndpointSection()
     store: StoreSection
+    retries: RetriesSection = RetriesSection()
+    stop: StopSection = StopSection()
     limits: LimitsSection = LimitsSection()
     logs: LogsSection = LogsSection()
 
@@ -186,12 +215,25 @@
     "listen": ListenSection,
     "endpoint": EndpointSection,
     "store": StoreSection,
+    "retries": RetriesSection,
+    "stop": StopSection,
     "limits": LimitsSection,
     "logs": LogsSection,
 }
 REQUIRED = ("daemon", "listen", "store")
 
 
+def read_registry_settings(path):
+    """Read and check the settings file of a daemon that uses a registry.
+
+    Raises
+    ------
+    SettingsError
+        With file, section, option and accepted range.
+    """
+    return RegistrySettings(**read_sections(path, REGISTRY_SECTIONS, REQUIRED))
+
+
 def split_address(address):
     """Return (host, port) of a HOST:PORT text."""
     host, _, port = address.rpartition(":")
--- a/dandelionarch/daemon/tcplink.py
+++ b/dandelionarch/daemon/tcplink.py
@@ -130,6 +130,9 @@
                 pass
         except WireError as exc:
             self._fail(exc)
+        except LinkDownError:
+            # The connection is closing, so a `Pong` can't be sent any more.
+            self.close()
 
     def connection_lost(self, exc):
         if self._buffer and not self.closed:
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -21,6 +21,7 @@
     Reason.TRUNCATED: RunResult.BROKEN,
     # One may be a straggler or a full queue; two in a row are not.
     Reason.DEADLINE: RunResult.APPLICATION_ERROR,
+    Reason.WORKER_SILENT: RunResult.APPLICATION_ERROR,
     Reason.WORKER_REFUSED: RunResult.APPLICATION_ERROR,
 }
 
--- a/dandelionarch/daemon/workers.py
+++ b/dandelionarch/daemon/workers.py
@@ -131,10 +131,14 @@
         """
         data = await self._resp.content.read(size)
         last = self._resp.content.at_eof()
-        if last and not self.framed and self._protocol and self._protocol.was_reset:
+        if last and not self.framed and self._was_reset():
             raise BrokenAnswerError("connection was reset before the answer's end")
         return data, last
 
+    def _was_reset(self):
+        # A protocol without queued messages is falsy.
+        return self._protocol is not None and self._protocol.was_reset
+
     def end(self, reusable):
         """Give the connection back, or close it."""
         if reusable:
--- a/dandelionarch/platform/main.py
+++ b/dandelionarch/platform/main.py
@@ -9,13 +9,7 @@
 
 from dandelionarch.core.directory import Directory
 from dandelionarch.daemon.registry_app import Platform, RegistryDaemon
-from dandelionarch.daemon.settings import (
-    REGISTRY_SECTIONS,
-    REQUIRED,
-    RegistrySettings,
-    read_sections,
-    split_address,
-)
+from dandelionarch.daemon.settings import read_registry_settings, split_address
 from dandelionarch.errors import DandelionError
 from dandelionarch.logs import setup_logs
 from dandelionarch.platform.config import OperatorConfig
@@ -23,18 +17,12 @@
 from dandelionarch.platform.http_forms import PlatformCallers, PlatformDialect
 from dandelionarch.platform.store import StoreClient
 
-SETTINGS_VARIABLE = "DANDELIONARCH_BOOT"
+PATH_VARIABLE = "DANDELIONARCH_BOOT"
+DEFAULT_PATH = "/etc/dandelionarch/node.conf"
 OPERATOR_TOPIC = "keyed.op"
 REGISTRY_TOPIC = "keyed.fleet"
 
 
-def read_settings():
-    """Return the settings whose file the platform names."""
-    path = os.environ.get(SETTINGS_VARIABLE, "/etc/dandelionarch/node.conf")
-    parts = read_sections(path, REGISTRY_SECTIONS, REQUIRED)
-    return RegistrySettings(**parts)
-
-
 async def serve(settings):
     """Run a daemon until SIGTERM or SIGINT."""
     stop = asyncio.Event()
@@ -62,7 +50,7 @@
 def main():
     """Read the settings and serve; return the exit code."""
     try:
-        settings = read_settings()
+        settings = read_registry_settings(os.environ.get(PATH_VARIABLE, DEFAULT_PATH))
     except DandelionError as exc:
         print(f"dandelion-daemon: {exc}", file=sys.stderr)
         return exc.exit_code
--- /dev/null
+++ b/tests/support/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the platform's published protocol."""
--- /dev/null
+++ b/tests/support/platform/fleet.py
@@ -0,0 +1,199 @@
+"""Daemons on stand-ins of the platform, all in the test's own loop."""
+
+import asyncio
+import functools
+import json
+
+import aiohttp
+from aiohttp import web
+
+from dandelionarch.core.directory import Directory
+from dandelionarch.daemon.registry_app import Platform, RegistryDaemon
+from dandelionarch.daemon.settings import RegistrySettings
+from dandelionarch.platform.config import OperatorConfig
+from dandelionarch.platform.control import make_apps
+from dandelionarch.platform.http_forms import PlatformCallers, PlatformDialect
+from dandelionarch.platform.main import OPERATOR_TOPIC, REGISTRY_TOPIC
+from dandelionarch.platform.store import StoreClient
+from tests.support.fleet import SHARED_KEY, free_ports
+from tests.support.path import until
+from tests.support.platform.store import StoreStandin
+from tests.support.platform.worker import WorkerStandin
+
+HOST = "shop.example"
+
+
+def route(service="orders", kind="safe", prefix="/orders/", **fields):
+    """Return a route of the configuration."""
+    said = {
+        "host": HOST,
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 800,
+        "priority": 1,
+        "max_attempts": 2,
+    }
+    if "traffic_split" not in fields:
+        said["service"] = service
+    return said | fields
+
+
+ROUTES = {
+    "read": route(),
+    "order": route(kind="unsafe", prefix="/place/"),
+}
+
+
+def config(version, routes=None):
+    """Return a configuration as the operator writes it."""
+    services = {"health_path": "/health", "max_connections": 330}
+    body = {
+        "version": version,
+        "routes": ROUTES if routes is None else routes,
+        "services": {"orders": services, "stock": services},
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1 << 26,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+    }
+    return json.dumps(body).encode()
+
+
+class PlatformFleet:
+    """A store, daemons and workers, one worker at most beside each daemon."""
+
+    def __init__(self):
+        self.store = StoreStandin()
+        self.daemons = {}
+        self.workers = {}
+        self._clients = []
+        self._runner = None
+        self._store_port = free_ports(1)[0]
+
+    async def __aenter__(self):
+        self._runner = web.AppRunner(
+            self.store.app, access_log=None, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", self._store_port).start()
+        return self
+
+    async def __aexit__(self, *exc):
+        for daemon in self.daemons.values():
+            await daemon.stop()
+        for client in self._clients:
+            await client.stop()
+        for worker in self.workers.values():
+            worker.stop()
+        await self._runner.cleanup()
+
+    async def configure(self, version=1, routes=None):
+        """Write a configuration and wait until it is in force everywhere."""
+        await self.store.put(OPERATOR_TOPIC, "config", config(version, routes))
+        for daemon in self.daemons.values():
+            await until(
+                lambda daemon=daemon: daemon.routing.revision == version,
+                "configuration in force",
+            )
+
+    async def daemon(self, vm, service="orders", data_centre="dc-1"):
+        """Start a daemon."""
+        callers, reports, readiness, peer = free_ports(4)
+        settings = RegistrySettings(
+            daemon={"vm": vm, "data_centre": data_centre, "shared_key": SHARED_KEY},
+            listen={
+                "callers": f"127.0.0.1:{callers}",
+                "reports": f"127.0.0.1:{reports}",
+                "readiness": f"127.0.0.1:{readiness}",
+                "peer_port": peer,
+            },
+            stop={"drain_s": 0.1},
+            endpoint={"service": service},
+            store={"address": f"127.0.0.1:{self._store_port}"},
+        )
+        client = StoreClient("127.0.0.1", self._store_port)
+        await client.start()
+        self._clients.append(client)
+        platform = Platform(
+            client.topic(OPERATOR_TOPIC),
+            OperatorConfig(),
+            client.topic(REGISTRY_TOPIC),
+            PlatformCallers(service),
+            PlatformDialect(),
+            make_apps,
+        )
+        daemon = RegistryDaemon(settings, platform, Directory())
+        await daemon.start()
+        self.daemons[vm] = daemon
+        return daemon
+
+    async def worker(self, vm, handle=None, service="orders", session=None, **said):
+        """Start a worker beside a daemon, which reports itself once."""
+        worker = WorkerStandin(f"i-{vm}", handle)
+        await worker.start()
+        self.workers[worker.instance] = worker
+        status = await self.report(session, vm, worker, service=service, **said)
+        assert status == 200
+        for daemon in self.daemons.values():
+            await until(
+                lambda daemon=daemon: worker.instance in daemon.directory.endpoints,
+                "worker known",
+            )
+        return worker
+
+    async def report(
+        self, session, vm, worker, service="orders", state="ready", sequence=1
+    ):
+        """Report a worker to the daemon of its VM; return the status."""
+        said = {
+            "address": f"127.0.0.1:{worker.port}",
+            "born": worker.born_ms,
+            "info": {"service": service, "version": "v1", "zone": "z", "slots": 3},
+            "status": {"state": state, "sequence": sequence, "cold_left_ms": 0},
+        }
+        host, port = self.daemons[vm].settings.listen.reports_address
+        url = f"http://{host}:{port}/-/instances/{worker.instance}"
+        async with session.put(url, json=said) as resp:
+            return resp.status
+
+    def url(self, vm, path="/orders/1"):
+        """Return the URL of a path at a daemon's callers' port."""
+        host, port = self.daemons[vm].settings.listen.callers_address
+        return f"http://{host}:{port}{path}"
+
+    async def linked(self):
+        """Wait until every daemon has a link to every other one."""
+        for daemon in self.daemons.values():
+            for vm in self.daemons:
+                await until(
+                    lambda daemon=daemon, vm=vm: daemon.network.is_up(vm), "link up"
+                )
+
+
+def headers(request_id, deadline_ms=2000):
+    """Return the header fields of a caller's request."""
+    return {
+        "Host": HOST,
+        "X-Request-Id": request_id,
+        "X-Request-Deadline": str(deadline_ms),
+    }
+
+
+def platform_test(func):
+    """Run an asynchronous test method with a fleet and a caller's session."""
+
+    @functools.wraps(func)
+    def test(self):
+        async def main():
+            async with PlatformFleet() as fleet:
+                async with aiohttp.ClientSession() as session:
+                    await func(self, fleet, session)
+
+        asyncio.run(main())
+
+    # Otherwise pytest takes the wrapped method's parameters for fixtures.
+    del test.__wrapped__
+    return test
--- /dev/null
+++ b/tests/support/platform/worker.py
@@ -0,0 +1,114 @@
+"""Stand-in for an endpoint that speaks the platform's protocol."""
+
+import asyncio
+import contextlib
+import re
+import socket
+import struct
+import time
+from dataclasses import dataclass
+
+STAMP = "3e1b.07.5a2"
+
+
+@dataclass(frozen=True)
+class Seen:
+    """A request as the worker got it; header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+
+    @property
+    def request_id(self):
+        """Return the id of the request."""
+        return self.headers["x-request-id"]
+
+
+def answer(seen, body=b"done", status=200, stamp=True, length=True, extra=()):
+    """Return the bytes of a response."""
+    lines = [f"HTTP/1.1 {status} X", f"X-Request-Id: {seen.request_id}"]
+    if stamp:
+        lines.append(f"X-Response-Stamp: {STAMP}")
+    if length:
+        lines.append(f"Content-Length: {len(body)}")
+    lines += extra
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def not_executed(seen, status=503):
+    """Return the refusal of a request that was not run."""
+    return answer(seen, b"", status, stamp=False, extra=("X-Not-Executed: 1",))
+
+
+def reset_connection(writer):
+    """Close a connection by a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+class WorkerStandin:
+    """Serves each request by `handle(seen, writer)`, by default with an answer.
+
+    A request that names another instance is answered 421. `seen` lists the requests
+    that reached `handle`.
+    """
+
+    def __init__(self, instance, handle=None):
+        self.instance = instance
+        # Long enough ago that the worker is warm.
+        self.born_ms = int(time.time() * 1000) - 60_000
+        self.port = 0
+        self.seen = []
+        self.misdirected = 0
+        self._handle = handle or self._answer
+        self._server = None
+
+    async def start(self):
+        """Listen on a free port of the loopback address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def stop(self):
+        """Stop listening."""
+        self._server.close()
+
+    @staticmethod
+    async def _answer(seen, writer):
+        writer.write(answer(seen))
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while not writer.is_closing():
+                seen = await self._read(reader)
+                if seen.headers.get("x-expect-instance") != self.instance:
+                    self.misdirected += 1
+                    writer.write(not_executed(seen, 421))
+                    continue
+                self.seen.append(seen)
+                await self._handle(seen, writer)
+        writer.close()
+
+    @staticmethod
+    async def _read(reader):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        request_line, *lines = head.strip().split("\r\n")
+        method, target, _ = request_line.split(" ")
+        headers = dict(re.split(r":\s*", line, maxsplit=1) for line in lines)
+        headers = {name.lower(): value for name, value in headers.items()}
+        size = int(headers.get("content-length", 0))
+        body = await reader.readexactly(size)
+        if headers.get("transfer-encoding") == "chunked":
+            body = await WorkerStandin._read_chunks(reader)
+        return Seen(method, target, headers, body)
+
+    @staticmethod
+    async def _read_chunks(reader):
+        body = b""
+        while size := int(await reader.readline(), 16):
+            body += await reader.readexactly(size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+        return body
--- /dev/null
+++ b/tests/test_fleet_budget.py
@@ -0,0 +1,59 @@
+"""The fleet's retry budget, divided among its ingresses."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dandelionarch.core.outcome import Reason
+from dandelionarch.core.retries import FleetBudget, FleetShareBudget
+
+BUDGET = FleetBudget(ratio=0.2, slack=56.0, window_s=10.0)
+DAEMONS = 24
+
+
+class TestFleetBudget:
+    """The sum over all ingresses stays within the fleet's budget."""
+
+    @given(
+        st.lists(
+            st.tuples(st.integers(0, DAEMONS - 1), st.integers(0, 299), st.booleans()),
+            max_size=600,
+        )
+    )
+    def test_sum_holds_in_every_window(self, events):
+        """Guards against ingresses that together exceed what the fleet may do.
+
+        Each event is (ingress, tenth of a second, whether it is a first attempt).
+        """
+        shares = [FleetShareBudget(BUDGET, lambda: DAEMONS) for _ in range(DAEMONS)]
+        firsts, further = [], []
+        for ingress, tenth, is_first in sorted(events, key=lambda e: e[1]):
+            now = tenth / 10
+            if is_first:
+                shares[ingress].first(now)
+                firsts.append(now)
+            elif shares[ingress].may_retry(now, Reason.WORKER_LINK, proven=False):
+                further.append(now)
+        for start in range(30):
+            end = start + BUDGET.window_s
+            used = sum(start <= t < end for t in further)
+            # Requests of the window before count as well.
+            asked = sum(start - BUDGET.window_s <= t < end for t in firsts)
+            assert used <= BUDGET.ratio * asked + BUDGET.slack
+
+    def test_redirect_by_an_agent_is_free(self):
+        """Guards against refusing a request that no endpoint has seen.
+
+        The pattern: a third of the endpoints turn work away at their agents.
+        """
+        share = FleetShareBudget(BUDGET, lambda: DAEMONS)
+        for n in range(200):
+            for reason in (Reason.QUEUE_FULL, Reason.EJECTED, Reason.BUSY):
+                assert share.may_retry(n / 100, reason, proven=True)
+
+    def test_refusal_by_an_endpoint_counts(self):
+        """Guards against overload by repeats: an endpoint saw each of these."""
+        share = FleetShareBudget(BUDGET, lambda: DAEMONS)
+        allowed = [
+            share.may_retry(1.0, Reason.WORKER_REFUSED, proven=True) for _ in range(50)
+        ]
+        assert 0 < sum(allowed) <= BUDGET.slack / DAEMONS
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,124 @@
+"""The gate in front of an endpoint closes early and opens on proof."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dandelionarch.core.gate import (
+    ANY_TRIAL_AFTER_S,
+    MAX_TRIAL_INTERVAL_S,
+    EndpointGate,
+    RunResult,
+)
+from dandelionarch.core.world import Health
+
+
+class Run:
+    """A request at the endpoint."""
+
+
+def finish(gate, result, now):
+    """Let one request pass the gate and end."""
+    run = Run()
+    gate.began(run, now)
+    gate.ended(run, result, now)
+
+
+class TestClosing:
+    """A broken connection closes the gate at once, errors after two in a row."""
+
+    def test_reset_refuses_orders_at_once(self):
+        """Guards against a second order lost to the same failing spell."""
+        gate = EndpointGate()
+        finish(gate, RunResult.BROKEN, 1.0)
+        assert not gate.admits(idempotent=False, now=1.0)
+        assert gate.health is Health.TRIAL
+
+    def test_single_application_error_is_normal(self):
+        """Guards against giving up an endpoint for its ordinary share of errors."""
+        gate = EndpointGate()
+        for n in range(20):
+            result = RunResult.APPLICATION_ERROR if n % 2 else RunResult.SERVED
+            finish(gate, result, float(n))
+        assert gate.admits(idempotent=False, now=20.0)
+
+    def test_errors_in_a_row_close(self):
+        """Guards against sending orders to an endpoint that fails them all."""
+        gate = EndpointGate()
+        finish(gate, RunResult.APPLICATION_ERROR, 1.0)
+        finish(gate, RunResult.APPLICATION_ERROR, 1.1)
+        assert not gate.admits(idempotent=False, now=1.1)
+
+
+class TestTrials:
+    """Only idempotent requests test an endpoint, one at a time."""
+
+    def closed(self):
+        """Return a gate that closed at 0 s."""
+        gate = EndpointGate()
+        finish(gate, RunResult.BROKEN, 0.0)
+        return gate
+
+    def test_one_trial_at_a_time(self):
+        """Guards against a burst of requests into a failing endpoint."""
+        gate = self.closed()
+        assert gate.admits(idempotent=True, now=1.0)
+        run = Run()
+        gate.began(run, 1.0)
+        assert not gate.admits(idempotent=True, now=1.5)
+
+    def test_one_success_does_not_open(self):
+        """Guards against opening on the one request in four that passes by chance."""
+        gate = self.closed()
+        finish(gate, RunResult.SERVED, 1.0)
+        assert not gate.admits(idempotent=False, now=1.1)
+        finish(gate, RunResult.SERVED, 1.1)
+        assert gate.admits(idempotent=False, now=1.1)
+
+    def test_other_runs_do_not_open(self):
+        """Guards against a request that began before the failure counting as trial."""
+        gate = EndpointGate()
+        early = [Run(), Run()]
+        for run in early:
+            gate.began(run, 0.0)
+        finish(gate, RunResult.BROKEN, 0.1)
+        for run in early:
+            gate.ended(run, RunResult.SERVED, 0.2)
+        assert not gate.admits(idempotent=False, now=0.2)
+
+    def test_service_without_idempotent_requests_recovers(self):
+        """Guards against an endpoint that stays closed for want of a trial."""
+        gate = self.closed()
+        assert not gate.admits(idempotent=False, now=ANY_TRIAL_AFTER_S - 0.1)
+        assert gate.admits(idempotent=False, now=ANY_TRIAL_AFTER_S + 0.1)
+
+    @given(st.integers(0, 10_000))
+    def test_failing_spell_costs_few_requests(self, seed):
+        """Guards against losing more to a spell than its trials.
+
+        The pattern: three requests in four fail for 10 s, 20 requests a second
+        arrive, a third of them idempotent.
+        """
+        rng = random.Random(seed)
+        gate, lost, trials = EndpointGate(), 0, 0
+        for n in range(200):
+            now, idempotent = n / 20, rng.random() < 1 / 3
+            if not gate.admits(idempotent, now):
+                continue
+            failed = rng.random() < 0.75
+            lost += failed and not idempotent
+            trials += failed and idempotent
+            finish(gate, RunResult.BROKEN if failed else RunResult.SERVED, now)
+        assert lost <= 8
+        assert trials <= 10 / 0.25
+
+    @given(st.lists(st.sampled_from(list(RunResult)), max_size=60))
+    def test_gate_always_offers_a_trial_again(self, results):
+        """Guards against a gate that no sequence of outcomes opens any more."""
+        gate, now = EndpointGate(), 0.0
+        for result in results:
+            now += 0.1
+            if gate.admits(idempotent=True, now=now):
+                finish(gate, result, now)
+        assert gate.admits(idempotent=True, now=now + MAX_TRIAL_INTERVAL_S + 0.01)
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,359 @@
+"""Requests through daemons on stand-ins of the platform."""
+
+import asyncio
+import time
+
+import yarl
+
+from dandelionarch.core.world import EndpointState
+from tests.support.path import until
+from tests.support.platform.fleet import (
+    ROUTES,
+    config,
+    headers,
+    platform_test,
+    route,
+)
+from tests.support.platform.worker import (
+    STAMP,
+    answer,
+    not_executed,
+    reset_connection,
+)
+
+
+async def ask(session, fleet, vm, path="/orders/1", request_id="r-1", **kwargs):
+    """Send a request and return (status, headers, body)."""
+    method = kwargs.pop("method", "GET")
+    deadline_ms = kwargs.pop("deadline_ms", 2000)
+    fields = headers(request_id, deadline_ms) | kwargs.pop("fields", {})
+    url = yarl.URL(fleet.url(vm, path), encoded=True)
+    async with session.request(method, url, headers=fields, **kwargs) as resp:
+        return resp.status, resp.headers, await resp.read()
+
+
+async def reset(seen, writer):
+    """Reset the connection as a failing worker does."""
+    reset_connection(writer)
+
+
+class TestWholePath:
+    """A request goes from its caller to a worker and back."""
+
+    @platform_test
+    async def test_request_reaches_worker_unchanged(self, fleet, session):
+        """Guards against changed targets, bodies, hosts or missing fields."""
+        await fleet.daemon("vm-a", service="stock")
+        await fleet.daemon("vm-b")
+        await fleet.configure()
+        worker = await fleet.worker("vm-b", session=session)
+        await fleet.linked()
+        status, fields, body = await ask(
+            session,
+            fleet,
+            "vm-a",
+            "/orders/a%20b/?x=%2F&y",
+            method="PUT",
+            data=b"lamp",
+            fields={"X-Caller-Service": "forged", "X-Other": "kept"},
+        )
+        assert (status, body) == (200, b"done")
+        assert fields["X-Response-Stamp"] == STAMP
+        assert fields["X-Request-Id"] == "r-1"
+        seen = worker.seen[0]
+        assert (seen.method, seen.target) == ("PUT", "/orders/a%20b/?x=%2F&y")
+        assert seen.body == b"lamp"
+        assert seen.headers["host"] == "shop.example"
+        assert seen.headers["x-caller-service"] == "stock"
+        assert seen.headers["x-other"] == "kept"
+        assert 0 < int(seen.headers["x-request-deadline"]) <= 2000
+
+    @platform_test
+    async def test_unknown_route_is_404_and_no_config_is_503(self, fleet, session):
+        """Guards against denying what a configuration not yet known may allow."""
+        await fleet.daemon("vm-a")
+        status, fields, _ = await ask(session, fleet, "vm-a")
+        assert status == 503
+        assert float(fields["Retry-After"]) > 0
+        await fleet.configure()
+        for path in ("/orders", "/none/1"):
+            status, _, _ = await ask(session, fleet, "vm-a", path)
+            assert status == 404, path
+
+    @platform_test
+    async def test_body_without_length_is_delivered_if_closed(self, fleet, session):
+        """Guards against refusing a whole answer that ends with its connection."""
+
+        async def close_after(seen, writer):
+            writer.write(answer(seen, b"whole", length=False))
+            writer.close()
+
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", close_after, session=session)
+        status, _, body = await ask(session, fleet, "vm-a", "/place/1", method="POST")
+        assert (status, body) == (200, b"whole")
+
+    @platform_test
+    async def test_body_without_length_is_broken_if_reset(self, fleet, session):
+        """Guards against passing on as whole what a reset cut off."""
+
+        async def reset_after(seen, writer):
+            writer.write(answer(seen, b"ha", length=False))
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            reset_connection(writer)
+
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", reset_after, session=session)
+        status, _, _ = await ask(session, fleet, "vm-a", "/place/1", method="POST")
+        assert status == 502
+
+    @platform_test
+    async def test_second_answer_is_dropped(self, fleet, session):
+        """Guards against an extra answer taken for that to the next request."""
+
+        async def answer_previous_first(seen, writer):
+            if worker.seen[1:]:
+                writer.write(answer(worker.seen[0], b"extra"))
+            writer.write(answer(seen, seen.request_id.encode()))
+
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        worker = await fleet.worker("vm-a", answer_previous_first, session=session)
+        for request_id in ("r-1", "r-2"):
+            status, _, body = await ask(
+                session, fleet, "vm-a", "/place/1", request_id, method="POST"
+            )
+            assert (status, body) == (200, request_id.encode())
+
+    @platform_test
+    async def test_answer_without_stamp_is_no_success(self, fleet, session):
+        """Guards against a success that no worker has signed."""
+
+        async def unsigned(seen, writer):
+            writer.write(answer(seen, stamp=False))
+
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", unsigned, session=session)
+        status, _, _ = await ask(session, fleet, "vm-a", "/place/1", method="POST")
+        assert status == 502
+
+
+class TestFailingWorker:
+    """A worker in a failing spell costs as few requests as possible."""
+
+    @platform_test
+    async def test_safe_request_goes_on_to_another_worker(self, fleet, session):
+        """Guards against failing what may be repeated."""
+        await fleet.daemon("vm-a")
+        await fleet.daemon("vm-b")
+        await fleet.configure()
+        await fleet.worker("vm-a", reset, session=session)
+        await fleet.worker("vm-b", session=session)
+        await fleet.linked()
+        for n in range(4):
+            status, _, _ = await ask(session, fleet, "vm-a", request_id=f"r-{n}")
+            assert status == 200
+
+    @platform_test
+    async def test_error_of_one_worker_is_bettered_by_another(self, fleet, session):
+        """Guards against an error passed on although another worker can serve."""
+
+        async def fail(seen, writer):
+            writer.write(answer(seen, b"broken", 500))
+
+        await fleet.daemon("vm-a")
+        await fleet.daemon("vm-b")
+        await fleet.configure()
+        await fleet.worker("vm-a", fail, session=session)
+        status, _, body = await ask(session, fleet, "vm-a")
+        assert (status, body) == (500, b"broken")
+        await fleet.worker("vm-b", session=session)
+        await fleet.linked()
+        for n in range(4):
+            status, _, body = await ask(session, fleet, "vm-a", request_id=f"r-{n}")
+            assert (status, body) == (200, b"done")
+
+    @platform_test
+    async def test_order_is_not_repeated_after_a_reset(self, fleet, session):
+        """Guards against running an order twice, or calling it not run."""
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        worker = await fleet.worker("vm-a", reset, session=session)
+        status, _, _ = await ask(session, fleet, "vm-a", "/place/1", method="POST")
+        assert status == 502
+        assert len(worker.seen) == 1
+
+    @platform_test
+    async def test_closed_gate_sends_orders_to_another_worker(self, fleet, session):
+        """Guards against giving orders to a worker that has just failed."""
+        await fleet.daemon("vm-a")
+        await fleet.daemon("vm-b")
+        await fleet.configure()
+        bad = await fleet.worker("vm-a", reset, session=session)
+        await fleet.worker("vm-b", session=session)
+        await fleet.linked()
+        statuses = []
+        for n in range(12):
+            status, _, _ = await ask(
+                session, fleet, "vm-a", "/place/1", f"r-{n}", method="POST"
+            )
+            statuses.append(status)
+        assert len(bad.seen) <= 1
+        assert statuses.count(200) >= 11
+
+    @platform_test
+    async def test_refusal_by_worker_is_followed_by_another(self, fleet, session):
+        """Guards against reporting work as failed that was proven not run."""
+
+        async def full(seen, writer):
+            writer.write(not_executed(seen))
+
+        await fleet.daemon("vm-a")
+        await fleet.daemon("vm-b")
+        await fleet.configure()
+        await fleet.worker("vm-a", full, session=session)
+        good = await fleet.worker("vm-b", session=session)
+        await fleet.linked()
+        for n in range(4):
+            status, _, _ = await ask(
+                session, fleet, "vm-a", "/place/1", f"r-{n}", method="POST"
+            )
+            assert status == 200
+        assert len(good.seen) == 4
+
+
+class TestLeaving:
+    """Workers and daemons leave without cutting or losing requests."""
+
+    @platform_test
+    async def test_draining_worker_gets_nothing_more(self, fleet, session):
+        """Guards against new work after the acknowledgement, and late reports."""
+        await fleet.daemon("vm-a")
+        await fleet.daemon("vm-b")
+        await fleet.configure()
+        worker = await fleet.worker("vm-a", session=session)
+        await fleet.worker("vm-b", session=session)
+        await fleet.linked()
+        assert await fleet.report(session, "vm-a", worker, state="draining", sequence=3)
+        late = await fleet.report(session, "vm-a", worker, state="ready", sequence=2)
+        assert late == 200
+        for n in range(6):
+            status, _, _ = await ask(session, fleet, "vm-b", request_id=f"r-{n}")
+            assert status == 200
+        assert worker.seen == []
+
+    @platform_test
+    async def test_deleted_worker_gets_nothing_more(self, fleet, session):
+        """Guards against work for a worker that leaves without draining first."""
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        worker = await fleet.worker("vm-a", session=session)
+        host, port = fleet.daemons["vm-a"].settings.listen.reports_address
+        url = f"http://{host}:{port}/-/instances/{worker.instance}"
+        async with session.delete(url) as resp:
+            assert resp.status == 200
+        status, _, _ = await ask(session, fleet, "vm-a")
+        assert status == 503
+        assert worker.seen == []
+
+    @platform_test
+    async def test_stop_finishes_what_runs_and_is_not_ready(self, fleet, session):
+        """Guards against a planned stop that cuts a request in flight."""
+
+        async def slow(seen, writer):
+            await asyncio.sleep(0.5)
+            writer.write(answer(seen))
+
+        await fleet.daemon("vm-a")
+        stopping = await fleet.daemon("vm-b")
+        await fleet.configure()
+        worker = await fleet.worker("vm-b", slow, session=session)
+        await fleet.linked()
+        running = asyncio.create_task(ask(session, fleet, "vm-a"))
+        await until(lambda: worker.seen, "request runs")
+        drained = asyncio.create_task(stopping.drain())
+        await asyncio.sleep(0)
+        host, port = stopping.settings.listen.readiness_address
+        async with session.get(f"http://{host}:{port}/-/readiness") as resp:
+            assert resp.status == 503
+        status, _, _ = await running
+        assert status == 200
+        await drained
+        status, _, _ = await ask(session, fleet, "vm-a", request_id="r-2")
+        assert status == 503
+        assert len(worker.seen) == 1
+
+
+class TestStore:
+    """The store's faults cost no request."""
+
+    @platform_test
+    async def test_outage_keeps_what_is_known(self, fleet, session):
+        """Guards against losing workers or routes with the store."""
+        await fleet.daemon("vm-a")
+        await fleet.daemon("vm-b")
+        await fleet.configure()
+        await fleet.worker("vm-b", session=session)
+        await fleet.linked()
+        fleet.store.down = True
+        status, _, _ = await ask(session, fleet, "vm-a")
+        assert status == 200
+
+    @platform_test
+    async def test_lost_reply_and_compaction_lose_nothing(self, fleet, session):
+        """Guards against a worker that stays unknown after the store's faults."""
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        fleet.store.lose_appends = 2
+        await fleet.worker("vm-a", session=session)
+        await fleet.store.compact("keyed.fleet")
+        late = await fleet.daemon("vm-b")
+        await until(lambda: "i-vm-a" in late.directory.endpoints, "worker known")
+        assert late.directory.endpoints["i-vm-a"].state is EndpointState.READY
+
+    @platform_test
+    async def test_unreadable_entries_name_no_worker(self, fleet, session):
+        """Guards against an entry of another writer that stops the registry."""
+        await fleet.daemon("vm-a")
+        await fleet.store.put("keyed.fleet", "stranger", b"\x00\x01not an entry")
+        await fleet.store.put("keyed.op", "config", b"{")
+        await fleet.configure()
+        await fleet.worker("vm-a", session=session)
+        status, _, _ = await ask(session, fleet, "vm-a")
+        assert status == 200
+
+    @platform_test
+    async def test_configuration_never_goes_back(self, fleet, session):
+        """Guards against a late record that undoes a newer version."""
+        daemon = await fleet.daemon("vm-a")
+        await fleet.configure(5)
+        await fleet.store.put("keyed.op", "other", b"x")
+        await fleet.configure(9, {"read": ROUTES["read"]})
+        await fleet.store.put("keyed.op", "config", config(7))
+        await asyncio.sleep(0.1)
+        assert daemon.routing.revision == 9
+        status, _, _ = await ask(session, fleet, "vm-a", "/place/1", method="POST")
+        assert status == 404
+
+
+class TestRouteTime:
+    """The route bounds how long a caller is kept waiting."""
+
+    @platform_test
+    async def test_answer_comes_by_the_routes_timeout(self, fleet, session):
+        """Guards against waiting for a worker that hangs past the route's time."""
+
+        async def hang(seen, writer):
+            await asyncio.sleep(30)
+
+        await fleet.daemon("vm-a")
+        await fleet.configure(1, {"order": route(kind="unsafe", timeout_ms=300)})
+        await fleet.worker("vm-a", hang, session=session)
+        began = time.monotonic()
+        status, _, _ = await ask(session, fleet, "vm-a", method="POST")
+        assert status == 504
+        assert time.monotonic() - began < 0.8
--- /dev/null
+++ b/tests/test_tcplink.py
@@ -0,0 +1,126 @@
+"""One connection between daemons, on a fake transport."""
+
+import asyncio
+
+from dandelionarch.core.messages.request import Ping
+from dandelionarch.daemon.link import PeerNetwork
+from dandelionarch.daemon.tcplink import SILENT_S, TcpLink
+
+KEY = b"0123456789abcdef-test"
+IDLE_PING_S = 2.0
+
+
+class FakeTransport:
+    """Transport that keeps what is written until it is delivered."""
+
+    def __init__(self):
+        self.written = []
+        self.closing = False
+
+    def write(self, data):
+        self.written.append(data)
+
+    def is_closing(self):
+        return self.closing
+
+    def close(self):
+        self.closing = True
+
+    abort = close
+
+    def get_write_buffer_size(self):
+        return 0
+
+    def set_write_buffer_limits(self, high):
+        pass
+
+
+class Pair:
+    """Two connected links, the dialling side first."""
+
+    def __init__(self, idle_ping_s=None):
+        self.transports = [FakeTransport(), FakeTransport()]
+        self.links = []
+        for n, transport in enumerate(self.transports):
+            network = PeerNetwork(f"vm-{n}", KEY, lambda vm: None, idle_ping_s)
+            self.links.append(TcpLink(network, dialled=n == 0))
+            self.links[n].connection_made(transport)
+        self.deliver()
+
+    def deliver(self):
+        """Pass on what either side has written, until both are silent."""
+        while any(transport.written for transport in self.transports):
+            for n, transport in enumerate(self.transports):
+                data, transport.written = b"".join(transport.written), []
+                if data:
+                    self.links[1 - n].data_received(data)
+
+
+def run(check):
+    """Run a function in an event loop."""
+
+    async def main():
+        check()
+
+    asyncio.run(main())
+
+
+class TestClosing:
+    """A link whose connection is closing takes what still comes in."""
+
+    def test_ping_on_a_closing_connection_ends_the_link(self):
+        """Guards against an error that escapes into the event loop."""
+
+        def check():
+            pair = Pair()
+            pair.transports[1].closing = True
+            pair.links[0].send(Ping(1))
+            pair.deliver()
+            assert pair.links[1].closed
+
+        run(check)
+
+
+class TestIdleLinks:
+    """An unused link is checked from time to time, if so set."""
+
+    def test_silent_idle_link_is_closed(self):
+        """Guards against a dead connection that only the next request finds."""
+
+        def check():
+            link = Pair(IDLE_PING_S).links[0]
+            now = link.last_received + IDLE_PING_S + 0.1
+            link.check(now)
+            assert not link.closed
+            link.check(now + SILENT_S)
+            assert link.closed
+
+        run(check)
+
+    def test_answered_ping_keeps_the_link(self):
+        """Guards against closing a link whose peer is alive."""
+
+        def check():
+            pair = Pair(IDLE_PING_S)
+            link = pair.links[0]
+            now = link.last_received
+            for _ in range(5):
+                now += IDLE_PING_S + 0.1
+                link.check(now)
+                assert pair.transports[0].written
+                pair.deliver()
+                link.last_received = now
+            assert not link.closed
+
+        run(check)
+
+    def test_only_the_dialling_side_pings(self):
+        """Guards against twice the traffic of idle links."""
+
+        def check():
+            pair = Pair(IDLE_PING_S)
+            link = pair.links[1]
+            link.check(link.last_received + 2 * IDLE_PING_S)
+            assert pair.transports[1].written == []
+
+        run(check)
