Read a topic on from the newest record, not from the store's end

Cause: the store answers its newest records and its end at different moments. A read now begins after the newest record that was got; what was deleted in between is part of a later answer of the newest records.

The first entry of a daemon waits up to 2 s for its endpoint's first report.

--- a/dandelionarch/daemon/callers.py
+++ b/dandelionarch/daemon/callers.py
@@ -19,7 +19,6 @@
 }
 REASON_STATUS = {
     (Outcome.UNKNOWN, Reason.DEADLINE): 504,
-    (Outcome.UNKNOWN, Reason.WORKER_SILENT): 504,
     (Outcome.NOT_RUN, Reason.KEY_REUSED): 422,
     (Outcome.UNKNOWN, Reason.ORDER_IN_PROGRESS): 409,
     (Outcome.NOT_RUN, Reason.OVER_LIMIT): 429,
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -1,6 +1,7 @@
 """Registry task: writes this daemon's entry and takes in those of the others."""
 
 import asyncio
+import contextlib
 import logging
 import random
 
@@ -15,6 +16,8 @@
 
 # Changes that come together are read together: each one wakes all daemons.
 GATHER_S = 0.2
+# Endpoints report every 1.5 s or so.
+FIRST_ENTRY_S = 2.0
 RETRY_MIN_S = 0.2
 RETRY_MAX_S = 1.0
 
@@ -37,7 +40,6 @@
         self._rng = rng or random.Random()
         self._registry = Registry(directory, vm)
         self._changed = asyncio.Event()
-        self._changed.set()
         self._written = asyncio.Event()
         self.follower = Follower(topic, self._on_records, GATHER_S, self._rng)
 
@@ -57,7 +59,15 @@
             event(log, "leave_not_written", logging.WARNING, timeout_s=timeout_s)
 
     async def run(self):
-        """Write the entry after each change until cancelled."""
+        """Write the entry after each change until cancelled.
+
+        The first one waits a little for the first report of an endpoint: each write
+        makes every daemon read.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_ENTRY_S):
+                await self._changed.wait()
+        self._changed.set()
         while True:
             await self._changed.wait()
             self._changed.clear()
--- a/dandelionarch/platform/store.py
+++ b/dandelionarch/platform/store.py
@@ -106,17 +106,18 @@
     def __init__(self, client, name):
         self.name = name
         self._client = client
+        # What lies before this offset is known only from the newest records.
+        self._first = Offset(0)
 
     async def newest(self):
-        records, after, end = [], None, None
+        records, after, end = [], None, self._first
         while True:
             params = {"topic": self.name, "part": PARTITION}
             if after is not None:
                 params["after"] = after
             page = _decode_page(await self._client.call("GET", "log-newest", params))
             records += page.records
-            # Pages are no snapshot: what changed meanwhile is read from here on.
-            end = page.end if end is None else end
+            end = max(end, page.end)
             if page.next_key is None:
                 return Batch(tuple(records), end)
             after = page.next_key
@@ -129,7 +130,11 @@
             "max_kb": MAX_READ_KB,
             "wait_ms": int(wait_s * 1000),
         }
-        data = await self._client.call("GET", "log-read", params, wait_s=wait_s)
+        try:
+            data = await self._client.call("GET", "log-read", params, wait_s=wait_s)
+        except OffsetTruncatedError as exc:
+            self._first = max(self._first, exc.first_offset)
+            raise
         return _decode_read(data, offset)
 
     async def append(self, record):
@@ -142,7 +147,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Page:
-    """One page of the newest records; `next_key` continues it, None at the end."""
+    """One page of the newest records; `next_key` continues it, None at the end.
+
+    `end` is the offset after the newest record on the page. The store's own end is
+    of a later moment than the records, so what came in between would be missed.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: Offset
@@ -152,20 +161,21 @@
 def _decode_page(data):
     try:
         body = parse(data)
-        items = field(body, "items", list)
-        records = tuple(_decode_item(item) for item in items)
-        end = Offset(field(body, "end", int))
+        items = [_decode_item(item) for item in field(body, "items", list)]
         more = field(body, "more", bool, False)
     except (FormError, binascii.Error) as exc:
         raise PlatformUnavailableError(f"store: bad page: {exc}") from exc
-    return Page(records, end, records[-1].key if more and records else None)
+    records = tuple(record for record, _ in items)
+    end = max((offset + 1 for _, offset in items), default=0)
+    return Page(records, Offset(end), records[-1].key if more and records else None)
 
 
 def _decode_item(item):
+    """Return the (record, offset) of an item."""
     if not isinstance(item, dict):
         raise FormError("item is not an object")
     value = base64.b64decode(field(item, "value", str))
-    return KeyedRecord(field(item, "key", str), value)
+    return KeyedRecord(field(item, "key", str), value), field(item, "offset", int)
 
 
 def _decode_read(data, offset):
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,121 @@
+"""The store's client against the stand-in of the store."""
+
+import asyncio
+import base64
+import json
+
+import pytest
+
+from dandelionarch.core.keyed_log import KeyedRecord
+from dandelionarch.errors import (
+    OffsetTruncatedError,
+    PlatformRefusedError,
+    PlatformUnavailableError,
+)
+from dandelionarch.platform.store import StoreClient, StoreTopic
+from tests.support.platform.fleet import platform_test
+
+
+class FakeClient:
+    """Client whose calls are answered from a list of bodies or errors."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def call(self, method, path, params, data=None, wait_s=0.0):
+        """Return the next answer."""
+        self.calls.append((path, params))
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+
+def page(items, end, more=False):
+    """Return the body of an answer with newest records, given as (key, offset)."""
+    items = [
+        {"key": key, "value": base64.b64encode(b"v").decode(), "offset": offset}
+        for key, offset in items
+    ]
+    return json.dumps({"items": items, "more": more, "end": end}).encode()
+
+
+class TestNewest:
+    """Nothing is missed between the newest records and the reads after them."""
+
+    def test_reading_goes_on_after_the_records_and_not_at_the_end(self):
+        """Guards against a change between the records and the end that is missed.
+
+        A daemon that started while the store was slow kept an old configuration
+        until the next change.
+        """
+        topic = StoreTopic(FakeClient(page([("config", 4)], end=9)), "keyed.op")
+        assert asyncio.run(topic.newest()).end == 5
+
+    def test_offset_that_was_deleted_is_not_asked_for_again(self):
+        """Guards against a loop of reads before the first retained offset."""
+        client = FakeClient(
+            page([("config", 4)], end=9),
+            OffsetTruncatedError(7),
+            page([("config", 4)], end=9),
+        )
+        topic = StoreTopic(client, "keyed.op")
+
+        async def follow():
+            batch = await topic.newest()
+            with pytest.raises(OffsetTruncatedError):
+                await topic.read(batch.end, 1.0)
+            return await topic.newest()
+
+        assert asyncio.run(follow()).end == 7
+
+    def test_pages_are_put_together(self):
+        """Guards against losing what does not fit one page."""
+        client = FakeClient(
+            page([("a", 3), ("b", 8)], 9, more=True), page([("c", 1)], 9)
+        )
+        batch = asyncio.run(StoreTopic(client, "keyed.fleet").newest())
+        assert [record.key for record in batch.records] == ["a", "b", "c"]
+        assert batch.end == 9
+        assert client.calls[1][1]["after"] == "b"
+
+
+class TestCalls:
+    """Every failure has the type that says what may have happened."""
+
+    @platform_test
+    async def test_refusal_did_nothing(self, fleet, session):
+        """Guards against taking a refusal for an append that may come late."""
+        client = StoreClient("127.0.0.1", fleet.store_port)
+        await client.start()
+        fleet.store.down = True
+        with pytest.raises(PlatformRefusedError):
+            await client.topic("keyed.fleet").append(KeyedRecord("a", b"x"))
+        await client.stop()
+
+    @platform_test
+    async def test_lost_reply_is_unknown(self, fleet, session):
+        """Guards against a lost reply that counts as a refusal."""
+        client = StoreClient("127.0.0.1", fleet.store_port)
+        await client.start()
+        topic = client.topic("keyed.fleet")
+        fleet.store.lose_appends = 1
+        with pytest.raises(PlatformUnavailableError):
+            await topic.append(KeyedRecord("a", b"x"))
+        batch = await topic.read(0, 0.1)
+        assert batch.records == (KeyedRecord("a", b"x"),)
+        await client.stop()
+
+    @platform_test
+    async def test_long_read_ends_with_the_next_record(self, fleet, session):
+        """Guards against a change that waits for the end of a long read."""
+        client = StoreClient("127.0.0.1", fleet.store_port)
+        await client.start()
+        topic = client.topic("keyed.fleet")
+        reading = asyncio.create_task(topic.read(0, 20.0))
+        await asyncio.sleep(0.05)
+        await topic.append(KeyedRecord("a", b"x"))
+        batch = await asyncio.wait_for(reading, 5.0)
+        assert (batch.records, batch.end) == ((KeyedRecord("a", b"x"),), 1)
+        await client.stop()
