Keep gates open under faults that a whole service shares

A refusal by an endpoint no longer counts against it; errors close a gate only while at most 30% of the service's other endpoints are unhealthy, as a failing inner service shows as errors of all its callers; endpoints that take trials only are left out for work that is not idempotent, and agents tell peers of their gates when a link opens.

--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -11,6 +11,9 @@
 from dandelionarch.core.world import EndpointState, Health, VmState
 
 HINT_MAX_AGE_S = 2.0
+# Agents tell at once when they admit all work again; the age only bounds the harm of
+# a message that was lost.
+TRIAL_HINT_S = 5.0
 # Requests that go to an endpoint that is not healthy, so that its recovery shows.
 # A share of requests, not a rate per ingress, which would grow with the fleet.
 TRIAL_SHARE = 0.02
@@ -159,6 +162,15 @@
             yield cand
 
 
+def gate_open(candidates, drops):
+    """Drop endpoints that have lately said that they take trials only."""
+    for cand in candidates:
+        if cand.health is Health.TRIAL and cand.health_age_s <= TRIAL_HINT_S:
+            drops.append(Drop(cand.endpoint.endpoint_id, "gate", "trials only"))
+        else:
+            yield cand
+
+
 def near_first(candidates, drops):
     """Keep the own data centre until its load exceeds the others' by the margin."""
     kept = list(candidates)
@@ -254,11 +266,13 @@
     floor_share=DEFAULT_FLOOR_SHARE,
     skip=frozenset(),
     trial_share=TRIAL_SHARE,
+    only_healthy=False,
 ):
     """Run the pipeline and return the `Decision`.
 
-    `trial_share` is the share of requests that try unhealthy endpoints; `skip` names
-    stages that a measurement switches off.
+    `trial_share` is the share of requests that try unhealthy endpoints; with
+    `only_healthy` none that takes trials only is chosen; `skip` names stages that a
+    measurement switches off.
     """
     decision = Decision()
     drops = decision.drops
@@ -269,6 +283,8 @@
     if "age_reports" not in skip:
         age_reports(stream)
     stream = not_ejected(stream, drops)
+    if only_healthy:
+        stream = gate_open(stream, drops)
     if "not_full" not in skip:
         stream = not_full(stream, drops)
     stream = healthy_first(stream, drops, rng, trial_share)
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -141,6 +141,13 @@
             return
         self._network.broadcast(msgs.LoadNotice(local.load()))
 
+    def introduce(self, link):
+        """Tell a peer whose link has just opened of the endpoints here."""
+        for endpoint in self._directory.endpoints_of_vm(self._vm_id):
+            local = self._endpoint(endpoint.endpoint_id)
+            with contextlib.suppress(LinkError):
+                link.send(msgs.LoadNotice(local.load()))
+
     async def stop(self):
         """Cancel what still runs and close the connection pool."""
         tasks = [run.task for run in self._runs.values()]
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -36,12 +36,15 @@
 
     `trial_share` is the share of idempotent requests that try unhealthy endpoints.
     With `links_kept_open` a link is opened before it is needed, so that one that is
-    not open is a fault. `make_budget` returns the retry budget of one service.
+    not open is a fault. `make_budget` returns the retry budget of one service. With
+    `gates_told` agents tell at once when an endpoint takes no more work that is not
+    idempotent.
     """
 
     trial_share: float = TRIAL_SHARE
     links_kept_open: bool = False
     make_budget: Callable[[], RetryBudget] = RetryBudget
+    gates_told: bool = False
 
 
 class Ingress:
@@ -167,7 +170,12 @@
         # Work that is not idempotent can't be repeated after a failed trial.
         trial_share = self._rules.trial_share if work.idempotent else 0.0
         return select(
-            candidates, self._policy, self._rng, tried, trial_share=trial_share
+            candidates,
+            self._policy,
+            self._rng,
+            tried,
+            trial_share=trial_share,
+            only_healthy=self._rules.gates_told and not work.idempotent,
         )
 
     def _add_report(self, cand):
@@ -394,6 +402,8 @@
         others = max(0, load.running + load.queued - own)
         now = asyncio.get_running_loop().time()
         self._loads[load.endpoint_id] = (now, load, others)
+        if self._rules.gates_told:
+            self._directory.mark_health(load.endpoint_id, Health(load.health))
         self.on_load(load)
 
     def _on_credit(self, link, msg, agent):
--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -61,6 +61,7 @@
         self._half_open = set()
         self._handlers = {}
         self._lost_handlers = []
+        self._opened_handlers = []
         self._tasks = set()
         self._local = LocalLink(self)
         self._server = None
@@ -81,6 +82,10 @@
         """Call `handler(link)` when any link ends."""
         self._lost_handlers.append(handler)
 
+    def on_opened(self, handler):
+        """Call `handler(link)` when a peer has opened a link."""
+        self._opened_handlers.append(handler)
+
     async def start(self, host, port):
         """Listen on the peer port."""
         loop = asyncio.get_running_loop()
@@ -246,6 +251,8 @@
         if not link.dialled:
             self._half_open.discard(link)
             self._accepted.add(link)
+            for handler in self._opened_handlers:
+                handler(link)
 
     async def _watch(self):
         """Check all links for silence."""
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -113,12 +113,13 @@
             self.network, self.directory, self.vm_id, self.watch, self._platform.dialect
         )
         self.watch.on_change = self.agent.announce_load
+        self.network.on_opened(self.agent.introduce)
         self.ingress = Ingress(
             self.network,
             self.directory,
             self.agent,
             self._rng,
-            IngressRules(TRIAL_SHARE, True, self._make_budget),
+            IngressRules(TRIAL_SHARE, True, self._make_budget, gates_told=True),
         )
         self.http = IngressHttp(
             self.ingress, self._platform.callers, self.routing, self.settings.limits
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -22,8 +22,10 @@
     # One may be a straggler or a full queue; two in a row are not.
     Reason.DEADLINE: RunResult.APPLICATION_ERROR,
     Reason.WORKER_SILENT: RunResult.APPLICATION_ERROR,
-    Reason.WORKER_REFUSED: RunResult.APPLICATION_ERROR,
 }
+# Work that fails at so many of a service's endpoints points to a shared cause, such
+# as a service that they all call; closing more gates would only take capacity away.
+SHARED_CAUSE_SHARE = 0.3
 
 
 class Watch(ABC):
@@ -94,6 +96,8 @@
 
     def ended(self, endpoint, run, reason, kind):
         result = self._result(run, reason)
+        if result is RunResult.APPLICATION_ERROR and self._is_shared(endpoint):
+            result = RunResult.INCONCLUSIVE
         self._gate(endpoint).ended(run, result, self._now())
         self._show(endpoint, run, result)
 
@@ -107,6 +111,16 @@
             return RunResult.APPLICATION_ERROR
         return RunResult.SERVED
 
+    def _is_shared(self, endpoint):
+        """Return True if many other endpoints of the service are unhealthy too."""
+        others = [
+            other
+            for other in self._directory.endpoints_of(endpoint.service)
+            if other.endpoint_id != endpoint.endpoint_id
+        ]
+        closed = sum(other.health is not Health.HEALTHY for other in others)
+        return closed > SHARED_CAUSE_SHARE * len(others)
+
     def _gate(self, endpoint):
         incarnation, gate = self._gates.get(endpoint.endpoint_id, (None, None))
         if incarnation != endpoint.incarnation:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Settings of all tests."""
 
+import random
+
 import pytest
 from hypothesis import HealthCheck, settings
 
@@ -21,3 +23,9 @@
     fleet = Fleet(tmp_path)
     yield fleet
     fleet.stop()
+
+
+@pytest.fixture
+def seeded_rng():
+    """Return a random generator with a fixed seed."""
+    return random.Random(1)
