Serve metrics as a page; never wait for the reader of the logs

The platform reads metrics from an address of the settings, in the text format that prometheus_client writes; statsd stays for fleets that have it. Logs go to standard output without blocking: lines that nobody reads are kept up to 256 KiB, then dropped and counted.

--- a/dandelionarch/daemon/admin.py
+++ b/dandelionarch/daemon/admin.py
@@ -1,14 +1,13 @@
 """Admin port: announcements of endpoints, and what operators ask for."""
 
 import logging
-import uuid
 
 import pydantic
-from sanic import Sanic
 from sanic.response import json
 
 from dandelionarch.core.world import Endpoint, EndpointState
 from dandelionarch.daemon.faults import FaultOrder
+from dandelionarch.daemon.parts import new_app
 from dandelionarch.ids import EndpointId, Incarnation, ServiceName
 from dandelionarch.logs import event
 
@@ -42,8 +41,7 @@
 
     def __init__(self, daemon):
         self._daemon = daemon
-        self.app = Sanic(f"admin-{uuid.uuid4().hex[:8]}", configure_logging=False)
-        self.app.config.TOUCHUP = False
+        self.app = new_app("admin")
         self.app.add_route(self._announce, "/announce", methods=["POST"])
         self.app.add_route(self._status, "/status")
         self.app.add_route(self._drain, "/drain", methods=["POST"])
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -36,7 +36,7 @@
 from dandelionarch.errors import LinkError, StartError, StopError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
-from dandelionarch.metrics import Metrics
+from dandelionarch.metrics import statsd_metrics
 
 log = logging.getLogger(__name__)
 
@@ -123,7 +123,7 @@
             KeyIssuer(cfg.shared_key.encode()),
             self.ingress,
         )
-        self.metrics = Metrics(
+        self.metrics = statsd_metrics(
             settings.statsd.host, settings.statsd.port, settings.statsd.prefix
         )
         self.limits = Limits(self.network, self.directory, self.active, random.Random())
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -35,7 +35,7 @@
     UnknownRouteError,
 )
 from dandelionarch.logs import event
-from dandelionarch.metrics import Metrics
+from dandelionarch.metrics import NoMetrics
 
 log = logging.getLogger(__name__)
 
@@ -83,7 +83,7 @@
         self._bounds = bounds
         self._customer_limits = limits
         self._orders = orders
-        self.metrics = metrics or Metrics()
+        self.metrics = metrics or NoMetrics()
         self._rng = random.Random()
         self._split = ServiceSplit(self._rng)
         self.in_flight = 0
--- a/dandelionarch/daemon/parts.py
+++ b/dandelionarch/daemon/parts.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import logging
+import uuid
+
+from sanic import Sanic
 
 log = logging.getLogger(__name__)
 
@@ -42,6 +45,14 @@
     return errors
 
 
+def new_app(name):
+    """Return a sanic application; several of a name may be in one process."""
+    app = Sanic(f"{name}-{uuid.uuid4().hex[:8]}", configure_logging=False)
+    # Specialised protocol classes are shared by all applications of a process.
+    app.config.TOUCHUP = False
+    return app
+
+
 async def serve_app(app, host, port, protocol=None):
     """Serve a sanic application and return its server."""
     server = await app.create_server(
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -13,6 +13,8 @@
 import time
 from abc import ABC, abstractmethod
 
+from sanic.response import raw
+
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.retries import FleetBudget, FleetShareBudget
 from dandelionarch.core.routing_config import ActiveRouting
@@ -25,12 +27,14 @@
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.link_keeper import LinkKeeper
 from dandelionarch.daemon.listening import close_listener
-from dandelionarch.daemon.parts import run_steps, serve_app, supervise
+from dandelionarch.daemon.parts import new_app, run_steps, serve_app, supervise
 from dandelionarch.daemon.registry import RegistryService
+from dandelionarch.daemon.settings import split_address
 from dandelionarch.daemon.watch import GateWatch
 from dandelionarch.errors import ConfigError, StartError, StopError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
+from dandelionarch.metrics import PageMetrics
 
 log = logging.getLogger(__name__)
 
@@ -104,6 +108,7 @@
         self._tasks = []
 
     def _build_path(self, cfg):
+        self.metrics = PageMetrics()
         self.network = PeerNetwork(
             self.vm_id, cfg.shared_key.encode(), self._address, IDLE_PING_S
         )
@@ -112,7 +117,7 @@
         self.agent = Agent(
             self.network, self.directory, self.vm_id, self.watch, self._platform.dialect
         )
-        self.watch.on_change = self.agent.announce_load
+        self.watch.on_change = self._on_health
         self.network.on_opened(self.agent.introduce)
         self.ingress = Ingress(
             self.network,
@@ -122,7 +127,11 @@
             IngressRules(TRIAL_SHARE, True, self._make_budget, gates_told=True),
         )
         self.http = IngressHttp(
-            self.ingress, self._platform.callers, self.routing, self.settings.limits
+            self.ingress,
+            self._platform.callers,
+            self.routing,
+            self.settings.limits,
+            metrics=self.metrics,
         )
 
     def _make_budget(self):
@@ -185,6 +194,10 @@
                 self.http.app, host, port, IngressProtocol
             ),
         }
+        if listen.metrics:
+            host, port = split_address(listen.metrics)
+            app = metrics_app(self.metrics)
+            steps[f"metrics port {port}"] = self._serve(app, host, port)
         for app, (host, port) in self._platform.make_apps(self):
             steps[f"port {port}"] = self._serve(app, host, port)
         errors = await run_steps(steps, StartError)
@@ -224,6 +237,10 @@
         if endpoint.state is EndpointState.READY:
             self.agent.announce_load(marked)
 
+    def _on_health(self, endpoint):
+        self.metrics.incr(f"endpoint_health.{endpoint.health.value}")
+        self.agent.announce_load(endpoint)
+
     def _busy(self):
         """Return True while work is in flight here or answers wait to be sent."""
         in_flight = self.agent.in_flight or self.http.in_flight
@@ -289,6 +306,7 @@
         if not self.routing.use(config):
             return
         self.http.use_bounds(config.bounds)
+        self.metrics.gauge("config_revision", config.revision)
         event(
             log,
             "config_in_force",
@@ -307,3 +325,15 @@
     def _address(self, vm_id):
         vm = self.directory.vms.get(vm_id)
         return None if vm is None else (vm.host, vm.peer_port)
+
+
+def metrics_app(metrics):
+    """Return the application that serves the page of metrics at any path."""
+    app = new_app("metrics")
+
+    async def page(request, path=""):
+        return raw(metrics.page(), content_type=metrics.content_type)
+
+    app.add_route(page, "/", name="root")
+    app.add_route(page, "/<path:path>", name="any")
+    return app
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -59,12 +59,14 @@
     """`[listen]`: addresses of a daemon that uses a registry, as HOST:PORT.
 
     `callers` takes requests, `reports` what the endpoint beside it says of itself,
-    `readiness` the checks that tell callers where to go.
+    `readiness` the checks that tell callers where to go, `metrics` requests for the
+    page of metrics, which is not served without an address.
     """
 
     callers: str = pydantic.Field(pattern=ADDRESS)
     reports: str = pydantic.Field(pattern=ADDRESS)
     readiness: str = pydantic.Field(pattern=ADDRESS)
+    metrics: str = pydantic.Field(default="", pattern=rf"{ADDRESS}|^$")
     peer_port: int = Port
 
     @property
--- a/dandelionarch/logs.py
+++ b/dandelionarch/logs.py
@@ -1,6 +1,7 @@
 """Structured logs: one line of key=value pairs, or one JSON object, per event."""
 
 import logging
+import os
 import re
 import sys
 import time
@@ -8,6 +9,7 @@
 from pythonjsonlogger.json import JsonFormatter
 
 _SPECIAL = re.compile(r'[ "=\n\r\t]')
+BUFFER_BYTES = 256 << 10
 _RESERVED = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
@@ -54,8 +56,59 @@
         logger.handle(record)
 
 
-def setup_logs(level="INFO", style="kv", stream=None):
-    """Send the package's log lines to a stream, standard error by default."""
+class NonBlockingHandler(logging.Handler):
+    """Writes lines to a file descriptor and drops them rather than wait.
+
+    A reader that has stopped must not stop the daemon. What the descriptor doesn't
+    take is kept up to `BUFFER_BYTES`; dropped lines are counted in a line of their
+    own once there is room again.
+
+    Parameters
+    ----------
+    fileno : int
+        Becomes non-blocking.
+    """
+
+    def __init__(self, fileno):
+        super().__init__()
+        os.set_blocking(fileno, False)
+        self._fileno = fileno
+        self._pending = bytearray()
+        self._dropped = 0
+
+    def emit(self, record):
+        """Write a record's line, or keep or drop it."""
+        try:
+            line = self.format(record).encode(errors="backslashreplace") + b"\n"
+        except Exception:
+            self.handleError(record)
+            return
+        self.flush()
+        if len(self._pending) + len(line) > BUFFER_BYTES:
+            self._dropped += 1
+            return
+        if self._dropped:
+            notice = f"event=log_lines_dropped count={self._dropped}\n"
+            self._pending += notice.encode()
+            self._dropped = 0
+        self._pending += line
+        self.flush()
+
+    def flush(self):
+        """Write what is kept as far as the descriptor takes it."""
+        while self._pending:
+            try:
+                written = os.write(self._fileno, self._pending)
+            except (BlockingIOError, BrokenPipeError):
+                return
+            del self._pending[:written]
+
+
+def setup_logs(level="INFO", style="kv", stream=None, handler=None):
+    """Send the package's log lines to a stream, standard error by default.
+
+    A `handler` takes the lines in place of the stream.
+    """
     datefmt = "%Y-%m-%dT%H:%M:%SZ"
     if style == "json":
         formatter = JsonFormatter(
@@ -71,7 +124,8 @@
     else:
         formatter = KeyValueFormatter(datefmt=datefmt)
     formatter.converter = time.gmtime
-    handler = logging.StreamHandler(stream or sys.stderr)
+    if handler is None:
+        handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(formatter)
     root = logging.getLogger("dandelionarch")
     root.handlers[:] = [handler]
--- a/dandelionarch/metrics.py
+++ b/dandelionarch/metrics.py
@@ -1,34 +1,100 @@
-"""Metrics by statsd; nothing is sent when no host is set."""
+"""Metrics of one daemon: sent to statsd, or kept for a page that is read."""
+
+from abc import ABC, abstractmethod
 
 import statsd
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import CONTENT_TYPE_LATEST, generate_latest
+
+# From a redirect between daemons to the longest time budgets, in milliseconds.
+LATENCY_BUCKETS_MS = (1, 3, 10, 30, 100, 200, 300, 500, 800, 1200, 2000, 4000, 8000)
+
+
+class Metrics(ABC):
+    """Counters, gauges and timings by name."""
+
+    @abstractmethod
+    def incr(self, name, count=1):
+        """Add to a counter."""
 
+    @abstractmethod
+    def gauge(self, name, value):
+        """Set a gauge."""
 
-class Metrics:
-    """Counters, gauges and timings of one daemon.
+    @abstractmethod
+    def timing(self, name, ms):
+        """Record a duration in milliseconds."""
+
+
+class NoMetrics(Metrics):
+    """Drops all metrics."""
+
+    def incr(self, name, count=1):
+        pass
+
+    def gauge(self, name, value):
+        pass
+
+    def timing(self, name, ms):
+        pass
+
+
+class StatsdMetrics(Metrics):
+    """Sends metrics to a statsd server.
 
     Parameters
     ----------
     host : str
-        Address of the statsd server; empty to send nothing.
+        Address of the statsd server.
     port : int
     prefix : str
         First part of each metric's name.
     """
 
-    def __init__(self, host="", port=8125, prefix="dandelion"):
-        self._client = statsd.StatsClient(host, port, prefix) if host else None
+    def __init__(self, host, port=8125, prefix="dandelion"):
+        self._client = statsd.StatsClient(host, port, prefix)
 
     def incr(self, name, count=1):
-        """Add to a counter."""
-        if self._client is not None:
-            self._client.incr(name, count)
+        self._client.incr(name, count)
 
     def gauge(self, name, value):
-        """Set a gauge."""
-        if self._client is not None:
-            self._client.gauge(name, value)
+        self._client.gauge(name, value)
 
     def timing(self, name, ms):
-        """Record a duration in milliseconds."""
-        if self._client is not None:
-            self._client.timing(name, ms)
+        self._client.timing(name, ms)
+
+
+class PageMetrics(Metrics):
+    """Keeps metrics for `page`, in the text format of Prometheus."""
+
+    content_type = CONTENT_TYPE_LATEST
+
+    def __init__(self):
+        self._registry = CollectorRegistry()
+        labels = {"labelnames": ["name"], "registry": self._registry}
+        self._events = Counter("dandelion_events", "Events by name", **labels)
+        self._levels = Gauge("dandelion_level", "Present values by name", **labels)
+        self._durations = Histogram(
+            "dandelion_duration_ms",
+            "Durations in milliseconds by name",
+            buckets=LATENCY_BUCKETS_MS,
+            **labels,
+        )
+
+    def incr(self, name, count=1):
+        self._events.labels(name).inc(count)
+
+    def gauge(self, name, value):
+        self._levels.labels(name).set(value)
+
+    def timing(self, name, ms):
+        self._durations.labels(name).observe(ms)
+
+    def page(self):
+        """Return all metrics as bytes."""
+        return generate_latest(self._registry)
+
+
+def statsd_metrics(host, port, prefix):
+    """Return metrics that go to statsd, or nowhere without a host."""
+    return StatsdMetrics(host, port, prefix) if host else NoMetrics()
--- a/dandelionarch/platform/control.py
+++ b/dandelionarch/platform/control.py
@@ -2,13 +2,12 @@
 
 import logging
 import time
-import uuid
 
-from sanic import Sanic
 from sanic.response import empty, json
 
 from dandelionarch.core.endpoint_reports import EndpointReport, EndpointReports
 from dandelionarch.core.world import EndpointState
+from dandelionarch.daemon.parts import new_app
 from dandelionarch.ids import EndpointId, Incarnation, ServiceName
 from dandelionarch.logs import event
 from dandelionarch.platform.json_forms import FormError, field, number, parse
@@ -29,7 +28,7 @@
 
 def readiness_app(daemon):
     """Return the application that says whether callers may send work here."""
-    app = _new_app("readiness")
+    app = new_app("readiness")
 
     async def readiness(request):
         return empty(status=200 if daemon.ready else 503)
@@ -44,7 +43,7 @@
     def __init__(self, daemon):
         self._daemon = daemon
         self._reports = EndpointReports(daemon.vm_id, self._max_connections)
-        self.app = _new_app("reports")
+        self.app = new_app("reports")
         path = "/-/instances/<endpoint_id:str>"
         self.app.add_route(self._report, path, methods=["PUT"])
         self.app.add_route(self._leave, path, methods=["DELETE"], name="leave")
@@ -104,9 +103,3 @@
         state,
         number(status, "cold_left_ms") / 1000,
     )
-
-
-def _new_app(name):
-    app = Sanic(f"{name}-{uuid.uuid4().hex[:8]}", configure_logging=False)
-    app.config.TOUCHUP = False
-    return app
--- a/dandelionarch/platform/main.py
+++ b/dandelionarch/platform/main.py
@@ -11,7 +11,7 @@
 from dandelionarch.daemon.registry_app import Platform, RegistryDaemon
 from dandelionarch.daemon.settings import read_registry_settings, split_address
 from dandelionarch.errors import DandelionError
-from dandelionarch.logs import setup_logs
+from dandelionarch.logs import NonBlockingHandler, setup_logs
 from dandelionarch.platform.config import OperatorConfig
 from dandelionarch.platform.control import make_apps
 from dandelionarch.platform.http_forms import PlatformCallers, PlatformDialect
@@ -54,7 +54,8 @@
     except DandelionError as exc:
         print(f"dandelion-daemon: {exc}", file=sys.stderr)
         return exc.exit_code
-    setup_logs(settings.logs.level, settings.logs.style, sys.stdout)
+    handler = NonBlockingHandler(sys.stdout.fileno())
+    setup_logs(settings.logs.level, settings.logs.style, handler=handler)
     try:
         uvloop.run(serve(settings))
     except ExceptionGroup as group:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -2,8 +2,9 @@
 
 import io
 import logging
+import os
 
-from dandelionarch.logs import event, setup_logs
+from dandelionarch.logs import BUFFER_BYTES, NonBlockingHandler, event, setup_logs
 
 
 class TestKeyValueLines:
@@ -30,3 +31,40 @@
         )
         assert "event=two request=r exc_info=" in second
         assert "bad\\nvalue" in second
+
+
+class TestNonBlockingHandler:
+    """Logging never waits for its reader."""
+
+    def test_lines_are_dropped_and_counted_while_nobody_reads(self):
+        """Guards against a daemon that stands still with the reader of its logs."""
+        reader, writer = os.pipe()
+        handler = NonBlockingHandler(writer)
+        record = logging.makeLogRecord({"msg": "x" * 1000})
+        lines = 2 * BUFFER_BYTES // 1000
+        for _ in range(lines):
+            handler.emit(record)
+        os.set_blocking(reader, False)
+        out = self.read(reader)
+        handler.emit(record)
+        for _ in range(10):
+            handler.flush()
+            out += self.read(reader)
+        os.close(reader)
+        os.close(writer)
+        text = out.decode()
+        kept = text.count("x" * 1000 + "\n")
+        assert "event=log_lines_dropped count=" in text
+        dropped = int(text.partition("count=")[2].split()[0])
+        assert kept + dropped == lines + 1
+
+    @staticmethod
+    def read(fileno):
+        """Return what can be read without waiting."""
+        out = b""
+        while True:
+            try:
+                data = os.read(fileno, 1 << 16)
+            except BlockingIOError:
+                return out
+            out += data
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 
-from dandelionarch.metrics import Metrics
+from dandelionarch.metrics import PageMetrics, StatsdMetrics
 from tests.support.path import fleet_test
 
 
@@ -17,7 +17,7 @@
         sock.bind(("127.0.0.1", 0))
         sock.setblocking(False)
         daemon = await fleet.daemon("vm-a")
-        daemon.http.metrics = Metrics("127.0.0.1", sock.getsockname()[1], "d")
+        daemon.http.metrics = StatsdMetrics("127.0.0.1", sock.getsockname()[1], "d")
         worker = await fleet.worker("w1", "vm-a")
         for refuse in (False, True):
             worker.faults.refuse = refuse
@@ -41,3 +41,19 @@
             ("d.outcome.not-run", "c"),
             ("d.refused.404", "c"),
         }
+
+
+class TestPage:
+    """The page that a monitoring system reads."""
+
+    def test_page_shows_counters_levels_and_histograms(self):
+        """Guards against a metric that is kept and not shown."""
+        metrics = PageMetrics()
+        metrics.incr("outcome.answer")
+        metrics.gauge("in_flight", 3)
+        metrics.timing("latency", 250)
+        page = metrics.page().decode()
+        assert 'dandelion_events_total{name="outcome.answer"} 1.0' in page
+        assert 'dandelion_level{name="in_flight"} 3.0' in page
+        assert 'dandelion_duration_ms_bucket{le="300.0",name="latency"} 1.0' in page
+        assert 'dandelion_duration_ms_bucket{le="200.0",name="latency"} 0.0' in page
