Learn configuration and registry from peers while the store is out of reach

The store may turn some VMs away while it serves others. A daemon that starts then knew no route and no peer, and answered 503 until the store let it in; now it asks over the links that its peers open to it.

--- a/dandelionarch/core/messages/registry.py
+++ b/dandelionarch/core/messages/registry.py
@@ -35,4 +35,23 @@
     endpoints: tuple[RegisteredEndpoint, ...]
 
 
-MESSAGES = (VmEntry,)
+@dataclass(frozen=True, slots=True)
+class StateQuery:
+    """Ask a daemon for what it has of the store; `revision` is the asker's."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class StateAnswer:
+    """Reply to `StateQuery`.
+
+    `config` is the operator's record as it stands in the store, empty if it is no
+    newer than the asker's revision.
+    """
+
+    config: bytes
+    entries: tuple[VmEntry, ...]
+
+
+MESSAGES = (VmEntry, StateQuery, StateAnswer)
--- a/dandelionarch/core/registry.py
+++ b/dandelionarch/core/registry.py
@@ -32,13 +32,14 @@
         self._directory = directory
         self._edition = 0
         self._known = {}
+        self._entries = {}
         self._own_read = (0, 0)
 
     def entry(self):
         """Return this daemon's entry as it is now, as a new edition."""
         self._edition += 1
         endpoints = self._directory.endpoints_of_vm(self.vm.vm_id)
-        return VmEntry(
+        entry = VmEntry(
             self.vm.vm_id,
             self.vm.data_centre,
             self.vm.region,
@@ -49,6 +50,8 @@
             self.vm.state.value,
             tuple(map(_registered, endpoints)),
         )
+        self._entries[self.vm.vm_id] = entry
+        return entry
 
     def leave(self):
         """Mark this VM as leaving; the next entry says so."""
@@ -62,9 +65,14 @@
         version = (entry.incarnation, entry.edition)
         if version > self._known.get(entry.vm_id, (0, 0)):
             self._known[entry.vm_id] = version
+            self._entries[entry.vm_id] = entry
             self._put(entry)
         return False
 
+    def entries(self):
+        """Return the entries of all VMs as far as they are known here."""
+        return tuple(self._entries.values())
+
     def _own_seen(self, entry):
         if entry.incarnation > self.vm.incarnation:
             # A former process on this VM had a clock that was ahead.
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -48,6 +48,15 @@
         self._written.clear()
         self._changed.set()
 
+    def entries(self):
+        """Return the entries of all VMs as far as they are known here."""
+        return self._registry.entries()
+
+    def take(self, entry):
+        """Take in an entry that a peer has; only the store tells of the own one."""
+        if entry.vm_id != self._registry.vm.vm_id:
+            self._registry.apply(entry)
+
     async def leave(self, timeout_s):
         """Write that this VM leaves; give up after `timeout_s`."""
         self._registry.leave()
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -30,6 +30,7 @@
 from dandelionarch.daemon.parts import new_app, run_steps, serve_app, supervise
 from dandelionarch.daemon.registry import RegistryService
 from dandelionarch.daemon.settings import split_address
+from dandelionarch.daemon.state_copy import StateCopies
 from dandelionarch.daemon.watch import GateWatch
 from dandelionarch.errors import ConfigError, StartError, StopError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
@@ -43,6 +44,9 @@
 # the request one more attempt, and a spell of failures is over only when one shows.
 TRIAL_SHARE = 0.15
 IDLE_PING_S = 2.0
+# The endpoint here serves on while callers are served, but for this last part, in
+# which most of what it runs ends.
+AGENT_NOTICE_S = 1.0
 
 
 class ConfigFormat(ABC):
@@ -98,6 +102,7 @@
         self.directory = directory
         self.directory.put_vm(self.vm)
         self.routing = ActiveRouting()
+        self.config_value = b""
         self._platform = platform
         self._rng = random.Random()
         self._stopping = False
@@ -160,6 +165,8 @@
             platform.config_topic, self._on_config, rng=self._rng
         )
         self._keeper = LinkKeeper(self.network, self.directory)
+        followers = (self._config_follower, self.registry.follower)
+        self._copies = StateCopies(self.network, followers, self, self._rng)
 
     @property
     def ready(self):
@@ -210,6 +217,7 @@
             self.registry.follower.run,
             self.registry.run,
             self._keeper.run,
+            self._copies.run,
         ):
             self._tasks.append(asyncio.create_task(supervise(run)))
 
@@ -294,17 +302,19 @@
         for record in records:
             if record.key != self._platform.config_format.key or not record.value:
                 continue
-            try:
-                config = self._platform.config_format.decode(record.value)
-            except ConfigError as exc:
-                event(log, "config_unreadable", logging.ERROR, detail=exc)
-                continue
-            self._use_config(config, "store")
-
-    def _use_config(self, config, source):
+            self._use_config(record.value, "store")
+
+    def _use_config(self, value, source):
+        """Put a record of the operator in force if it is a newer one."""
+        try:
+            config = self._platform.config_format.decode(value)
+        except ConfigError as exc:
+            event(log, "config_unreadable", logging.ERROR, source=source, detail=exc)
+            return
         old = self.routing.revision
         if not self.routing.use(config):
             return
+        self.config_value = value
         self.http.use_bounds(config.bounds)
         self.metrics.gauge("config_revision", config.revision)
         event(
@@ -316,6 +326,22 @@
             source=source,
         )
 
+    @property
+    def revision(self):
+        """Return the revision of the configuration in force."""
+        return self.routing.revision
+
+    def entries(self):
+        """Return the registry entries that are known here."""
+        return self.registry.entries()
+
+    def take_copy(self, answer, vm_id):
+        """Take what a peer has of the store."""
+        if answer.config:
+            self._use_config(answer.config, vm_id)
+        for entry in answer.entries:
+            self.registry.take(entry)
+
     def _on_leaving(self, link, msg):
         vm = self.directory.vms.get(VmId(msg.vm_id))
         if vm is not None and link.vm_id == vm.vm_id:
--- a/dandelionarch/wire/registry.capnp
+++ b/dandelionarch/wire/registry.capnp
@@ -23,9 +23,19 @@
   endpoints @8 :List(RegisteredEndpoint);
 }
 
+struct StateQuery {
+  revision @0 :UInt64;
+}
+
+struct StateAnswer {
+  config @0 :Data;
+  entries @1 :List(VmEntry);
+}
+
 struct Envelope {
   union {
     vmEntry @0 :VmEntry;
-    unused @1 :Void;
+    stateQuery @1 :StateQuery;
+    stateAnswer @2 :StateAnswer;
   }
 }
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -315,6 +315,24 @@
         await until(lambda: "i-vm-a" in late.directory.endpoints, "worker known")
         assert late.directory.endpoints["i-vm-a"].state is EndpointState.READY
 
+    @platform_test
+    async def test_daemon_that_the_store_turns_away_learns_from_peers(
+        self, fleet, session
+    ):
+        """Guards against refusing all callers of a VM that starts in an outage."""
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", session=session)
+        fleet.store.down = True
+        late = await fleet.daemon("vm-b")
+        peer = fleet.daemons["vm-a"]
+        # A former process of this VM is in the registry, so its peers dial it.
+        peer.directory.put_vm(late.vm)
+        await until(lambda: "i-vm-a" in late.directory.endpoints, "worker known")
+        await until(lambda: late.network.is_up("vm-a"), "link up")
+        status, _, _ = await ask(session, fleet, "vm-b")
+        assert status == 200
+
     @platform_test
     async def test_unreadable_entries_name_no_worker(self, fleet, session):
         """Guards against an entry of another writer that stops the registry."""
