--- /dev/null
+++ b/dandelionarch/daemon/endpoint_views.py
@@ -0,0 +1,127 @@
+"""What an ingress knows of the endpoints it may choose, and of its links to them."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from dandelionarch.core.links import LinkFaults
+from dandelionarch.core.refusals import RefusalMemory
+from dandelionarch.core.retries import RetryBudget
+from dandelionarch.core.selection import TRIAL_SHARE, Candidate
+from dandelionarch.core.world import Health
+
+
+@dataclass(frozen=True, slots=True)
+class IngressRules:
+    """What differs between ways to run a fleet.
+
+    `trial_share` is the share of idempotent requests that try unhealthy endpoints.
+    With `links_kept_open` a link is opened before it is needed, so that one that is
+    not open is a fault. `make_budget` returns the retry budget of one service. With
+    `gates_told` agents tell at once when an endpoint takes no more work that is not
+    idempotent.
+    """
+
+    trial_share: float = TRIAL_SHARE
+    links_kept_open: bool = False
+    make_budget: Callable[[], RetryBudget] = RetryBudget
+    gates_told: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ToldLoad:
+    """A `LoadReport`, when it came in seconds, and the work of other ingresses."""
+
+    told_s: float
+    report: object
+    others: int
+
+
+class EndpointViews:
+    """Own requests in flight, reported loads, refusals and link faults.
+
+    Times are in seconds on the loop's clock.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+    directory : Directory
+    rules : IngressRules
+    """
+
+    def __init__(self, network, directory, rules):
+        self._network = network
+        self._directory = directory
+        self._rules = rules
+        self._in_flight = {}
+        self._loads = {}
+        self._refusals = RefusalMemory()
+        self._link_faults = LinkFaults()
+
+    def candidates(self, service):
+        """Return a `Candidate` for each endpoint of a service."""
+        own = self._directory.vms.get(self._network.vm_id)
+        now = asyncio.get_running_loop().time()
+        candidates = []
+        for endpoint in self._directory.endpoints_of(service):
+            vm = self._directory.vms.get(endpoint.vm_id)
+            cand = Candidate(endpoint, vm)
+            cand.in_flight = self._in_flight.get(endpoint.endpoint_id, 0)
+            if own is not None and vm is not None:
+                cand.near = vm.data_centre == own.data_centre
+            self._add_link(cand, now)
+            self._add_report(cand, now)
+            candidates.append(cand)
+        return candidates
+
+    def _add_link(self, cand, now):
+        vm_id = cand.endpoint.vm_id
+        cand.link_up = self._link_faults.is_up(vm_id, now)
+        if self._rules.links_kept_open:
+            cand.link_up = cand.link_up and self._network.is_up(vm_id)
+        cand.link_faults = self._link_faults.count(vm_id)
+
+    def _add_report(self, cand, now):
+        load = self._loads.get(cand.endpoint.endpoint_id)
+        if load is not None:
+            cand.age_s = now - load.told_s
+            cand.reported = load.others
+            cand.warmup = load.report.warmup
+            cand.health = Health(load.report.health)
+            cand.health_age_s = cand.age_s
+        if self._refusals.holds(cand.endpoint.endpoint_id, now):
+            # Whatever its reports say, it has no slot for this ingress.
+            cand.age_s, cand.reported = 0.0, cand.endpoint.slots
+
+    def count(self, endpoint_id, by):
+        """Add to the own requests in flight at an endpoint."""
+        left = self._in_flight.get(endpoint_id, 0) + by
+        if left:
+            self._in_flight[endpoint_id] = left
+        else:
+            self._in_flight.pop(endpoint_id, None)
+
+    def note_load(self, report):
+        """Take in a `LoadReport`."""
+        own = self._in_flight.get(report.endpoint_id, 0)
+        others = max(0, report.running + report.queued - own)
+        told = ToldLoad(asyncio.get_running_loop().time(), report, others)
+        self._loads[report.endpoint_id] = told
+        if self._rules.gates_told:
+            self._directory.mark_health(report.endpoint_id, Health(report.health))
+
+    def refused(self, endpoint_id):
+        """Take note that an endpoint has refused work."""
+        self._refusals.refused(endpoint_id, asyncio.get_running_loop().time())
+
+    def taken(self, endpoint_id):
+        """Take note that an endpoint has taken work."""
+        self._refusals.taken(endpoint_id)
+
+    def link_failed(self, vm_id):
+        """Take note of a refused, lost or silent connection to a VM."""
+        self._link_faults.failed(vm_id, asyncio.get_running_loop().time())
+
+    def link_worked(self, vm_id):
+        """Take note of a message from a VM."""
+        self._link_faults.worked(vm_id)
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -5,20 +5,16 @@
 import itertools
 import logging
 import random
-from collections.abc import Callable
-from dataclasses import dataclass
 
 from dandelionarch.core.hedging import HedgeDelays
 from dandelionarch.core.ingress import Deliver, Dispatch, RequestLife
-from dandelionarch.core.links import LinkFaults
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
-from dandelionarch.core.refusals import RefusalMemory
-from dandelionarch.core.retries import RetryBudget, ReturnSchedule
-from dandelionarch.core.selection import TRIAL_SHARE, Candidate, TwoChoices, select
-from dandelionarch.core.world import Health
+from dandelionarch.core.retries import ReturnSchedule
+from dandelionarch.core.selection import TwoChoices, select
 from dandelionarch.daemon.agent import CHUNK_BYTES
 from dandelionarch.daemon.attempt import Answer, AttemptStream, CallerFault, LinkLost
+from dandelionarch.daemon.endpoint_views import EndpointViews, IngressRules
 from dandelionarch.daemon.watch import SERVER_ERROR
 from dandelionarch.errors import CallerBodyError, LinkError
 from dandelionarch.logs import event
@@ -30,23 +26,6 @@
 FETCH_TIMEOUT_S = 0.5
 
 
-@dataclass(frozen=True, slots=True)
-class IngressRules:
-    """What differs between ways to run a fleet.
-
-    `trial_share` is the share of idempotent requests that try unhealthy endpoints.
-    With `links_kept_open` a link is opened before it is needed, so that one that is
-    not open is a fault. `make_budget` returns the retry budget of one service. With
-    `gates_told` agents tell at once when an endpoint takes no more work that is not
-    idempotent.
-    """
-
-    trial_share: float = TRIAL_SHARE
-    links_kept_open: bool = False
-    make_budget: Callable[[], RetryBudget] = RetryBudget
-    gates_told: bool = False
-
-
 class Ingress:
     """Routes requests to agents and matches what comes back by attempt id."""
 
@@ -61,10 +40,7 @@
         self._hedging = HedgeDelays()
         self._attempt_ids = itertools.count(1)
         self._streams = {}
-        self._in_flight = {}
-        self._loads = {}
-        self._refusals = RefusalMemory()
-        self._link_faults = LinkFaults()
+        self._views = EndpointViews(network, directory, self._rules)
         self.decisions = {}
         self.on_load = lambda load: None
         self.fetch_endpoints = None
@@ -157,20 +133,10 @@
         return self._returns.retry_after_s(now, self._rng, least_s)
 
     def _choose(self, work, tried):
-        candidates = []
-        own = self._directory.vms.get(self._network.vm_id)
-        for endpoint in self._directory.endpoints_of(work.service):
-            vm = self._directory.vms.get(endpoint.vm_id)
-            cand = Candidate(endpoint, vm)
-            cand.in_flight = self._in_flight.get(endpoint.endpoint_id, 0)
-            if own is not None and vm is not None:
-                cand.near = vm.data_centre == own.data_centre
-            self._add_report(cand)
-            candidates.append(cand)
         # Work that is not idempotent can't be repeated after a failed trial.
         trial_share = self._rules.trial_share if work.idempotent else 0.0
         return select(
-            candidates,
+            self._views.candidates(work.service),
             self._policy,
             self._rng,
             tried,
@@ -178,24 +144,6 @@
             only_healthy=self._rules.gates_told and not work.idempotent,
         )
 
-    def _add_report(self, cand):
-        now = asyncio.get_running_loop().time()
-        cand.link_up = self._link_faults.is_up(cand.endpoint.vm_id, now)
-        if self._rules.links_kept_open:
-            cand.link_up = cand.link_up and self._network.is_up(cand.endpoint.vm_id)
-        cand.link_faults = self._link_faults.count(cand.endpoint.vm_id)
-        told = self._loads.get(cand.endpoint.endpoint_id)
-        if told is not None:
-            told_s, load, others = told
-            cand.age_s = now - told_s
-            cand.reported = others
-            cand.warmup = load.warmup
-            cand.health = Health(load.health)
-            cand.health_age_s = cand.age_s
-        if self._refusals.holds(cand.endpoint.endpoint_id, now):
-            # Whatever its reports say, it has no slot for this ingress.
-            cand.age_s, cand.reported = 0.0, cand.endpoint.slots
-
     async def _attempt(self, life, work, req, command):
         loop = asyncio.get_running_loop()
         endpoint = command.endpoint
@@ -220,7 +168,7 @@
             return life.expired()
         except LinkError:
             # Raised by connecting or by sending the head: no byte has left.
-            self._link_faults.failed(endpoint.vm_id, loop.time())
+            self._views.link_failed(endpoint.vm_id)
             return life.not_run(Reason.LINK_DOWN, loop.time())
         finally:
             streaming = isinstance(command, Deliver) and not life.answer.whole
@@ -230,7 +178,7 @@
     def _open(self, endpoint, link):
         stream = AttemptStream(next(self._attempt_ids), endpoint.endpoint_id, link)
         self._streams[stream.attempt_id] = stream
-        self._count(endpoint.endpoint_id, 1)
+        self._views.count(endpoint.endpoint_id, 1)
         link.begin()
         return stream
 
@@ -362,7 +310,7 @@
         """Forget an attempt; what still arrives for it is dropped."""
         if self._streams.pop(stream.attempt_id, None) is None:
             return
-        self._count(stream.endpoint_id, -1)
+        self._views.count(stream.endpoint_id, -1)
         stream.link.end()
         if stream.sender is not None:
             stream.sender.cancel()
@@ -374,36 +322,23 @@
         """End the attempt behind an answer that was streamed."""
         self.close(answer.stream, cancel=True)
 
-    def _count(self, endpoint_id, by):
-        left = self._in_flight.get(endpoint_id, 0) + by
-        if left:
-            self._in_flight[endpoint_id] = left
-        else:
-            self._in_flight.pop(endpoint_id, None)
-
     def _on_reply(self, link, msg):
         stream = self._streams.get(msg.attempt_id)
         if stream is None or stream.link is not link:
             event(log, "late_reply", attempt=msg.attempt_id, type=type(msg).__name__)
             return
-        self._link_faults.worked(link.vm_id)
+        self._views.link_worked(link.vm_id)
         load = getattr(msg, "load", None)
         if load is not None and load.endpoint_id:
             self._note_load(load)
         if isinstance(msg, msgs.Refusal) and msg.reason != Reason.BUSY.value:
-            now = asyncio.get_running_loop().time()
-            self._refusals.refused(stream.endpoint_id, now)
+            self._views.refused(stream.endpoint_id)
         elif isinstance(msg, msgs.ResponseHead):
-            self._refusals.taken(stream.endpoint_id)
+            self._views.taken(stream.endpoint_id)
         stream.mailbox.put_nowait(msg)
 
     def _note_load(self, load):
-        own = self._in_flight.get(load.endpoint_id, 0)
-        others = max(0, load.running + load.queued - own)
-        now = asyncio.get_running_loop().time()
-        self._loads[load.endpoint_id] = (now, load, others)
-        if self._rules.gates_told:
-            self._directory.mark_health(load.endpoint_id, Health(load.health))
+        self._views.note_load(load)
         self.on_load(load)
 
     def _on_credit(self, link, msg, agent):
@@ -418,7 +353,7 @@
         for stream in lost:
             stream.mailbox.put_nowait(LinkLost())
         if lost:
-            self._link_faults.failed(link.vm_id, asyncio.get_running_loop().time())
+            self._views.link_failed(link.vm_id)
 
     def _log_decision(self, work, command):
         decision = command.decision
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -12,17 +12,22 @@
 import random
 import time
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 
 from sanic.response import raw
 
+from dandelionarch.core.keyed_log import KeyedLog
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.retries import FleetBudget, FleetShareBudget
 from dandelionarch.core.routing_config import ActiveRouting
 from dandelionarch.core.world import EndpointState, Vm, VmState
 from dandelionarch.daemon.agent import Agent
 from dandelionarch.daemon.caller_connections import IngressProtocol
+from dandelionarch.daemon.callers import CallerProtocol
+from dandelionarch.daemon.dialect import EndpointDialect
+from dandelionarch.daemon.endpoint_views import IngressRules
 from dandelionarch.daemon.follower import Follower
-from dandelionarch.daemon.ingress import Ingress, IngressRules
+from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.link_keeper import LinkKeeper
@@ -63,16 +68,16 @@
 class Platform:
     """What a fleet's surroundings provide, behind the product's own interfaces.
 
-    `apps` lists the HTTP applications beside the callers' one, with their addresses;
-    they are made by `make_apps(daemon)`.
+    `make_apps(daemon)` yields the HTTP applications beside the callers' one, each
+    with its address.
     """
 
-    config_topic: object
+    config_topic: KeyedLog
     config_format: ConfigFormat
-    registry_topic: object
-    callers: object
-    dialect: object
-    make_apps: object
+    registry_topic: KeyedLog
+    callers: CallerProtocol
+    dialect: EndpointDialect
+    make_apps: Callable
 
 
 class RegistryDaemon:
@@ -82,6 +87,7 @@
     ----------
     settings : RegistrySettings
     platform : Platform
+    directory : Directory
     """
 
     def __init__(self, settings, platform, directory):
