--- a/dandelionarch/platform/config.py
+++ b/dandelionarch/platform/config.py
@@ -52,8 +52,9 @@
 
 
 def _shares(said):
-    if "service" in said:
-        return (ServiceShare(ServiceName(field(said, "service", str)), 1),)
+    service = field(said, "service", str, "")
+    if service:
+        return (ServiceShare(ServiceName(service), 1),)
     shares = field(said, "traffic_split", list)
     return tuple(
         ServiceShare(ServiceName(field(share, "service", str)), number(share, "weight"))
--- a/dandelionarch/platform/json_forms.py
+++ b/dandelionarch/platform/json_forms.py
@@ -13,14 +13,12 @@
         body = json.loads(data)
     except (ValueError, RecursionError) as exc:
         raise FormError(f"no JSON: {exc}") from exc
-    if not isinstance(body, dict):
-        raise FormError("not an object")
-    return body
+    return _fields(body)
 
 
 def field(body, name, kind, default=None):
     """Return a field of a kind; without it the default, or `FormError` if None."""
-    value = body.get(name, default)
+    value = _fields(body).get(name, default)
     # A JSON boolean is a Python int.
     if not isinstance(value, kind) or (kind is int and isinstance(value, bool)):
         raise FormError(f"{name!r} is not of type {kind.__name__}")
@@ -29,7 +27,13 @@
 
 def number(body, name):
     """Return a number of 0 or more, as an int or a float."""
-    value = body.get(name)
+    value = _fields(body).get(name)
     if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
         raise FormError(f"{name!r} is not a number of 0 or more")
     return value
+
+
+def _fields(body):
+    if not isinstance(body, dict):
+        raise FormError("not an object")
+    return body
