--- a/dandelionarch/core/routing_config.py
+++ b/dandelionarch/core/routing_config.py
@@ -1,5 +1,6 @@
 """Configuration that comes as a whole: routes, services and bounds for callers."""
 
+from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
 from dandelionarch.core.routes import Route, RouteTable
@@ -34,6 +35,16 @@
     bounds: CallerBounds
 
 
+class ConfigFormat(ABC):
+    """The form in which the operator writes the configuration."""
+
+    key = ""
+
+    @abstractmethod
+    def decode(self, value):
+        """Return a `RoutingConfig`, or raise `ConfigError`."""
+
+
 class ActiveRouting:
     """The configuration in force with its lookup table; it never goes back."""
 
--- a/dandelionarch/daemon/main.py
+++ b/dandelionarch/daemon/main.py
@@ -5,9 +5,8 @@
 import signal
 import sys
 
-import uvloop
-
 from dandelionarch.daemon.app import Daemon
+from dandelionarch.daemon.parts import run_daemon
 from dandelionarch.daemon.settings import read_settings
 from dandelionarch.errors import DandelionError
 from dandelionarch.logs import setup_logs
@@ -35,13 +34,7 @@
         print(f"dandelion-daemon: {exc}", file=sys.stderr)
         return exc.exit_code
     setup_logs(settings.logs.level, settings.logs.style)
-    try:
-        uvloop.run(serve(settings))
-    except ExceptionGroup as group:
-        for exc in group.exceptions:
-            print(f"dandelion-daemon: {exc}", file=sys.stderr)
-        return max(getattr(exc, "exit_code", 1) for exc in group.exceptions)
-    return 0
+    return run_daemon(serve(settings))
 
 
 if __name__ == "__main__":
--- a/dandelionarch/daemon/parts.py
+++ b/dandelionarch/daemon/parts.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import sys
 import uuid
 
+import uvloop
 from sanic import Sanic
 
 log = logging.getLogger(__name__)
@@ -11,6 +13,17 @@
 RESTART_DELAY_S = 1.0
 
 
+def run_daemon(coro):
+    """Run a daemon's coroutine to its end and return the program's exit code."""
+    try:
+        uvloop.run(coro)
+    except ExceptionGroup as group:
+        for exc in group.exceptions:
+            print(f"dandelion-daemon: {exc}", file=sys.stderr)
+        return max(getattr(exc, "exit_code", 1) for exc in group.exceptions)
+    return 0
+
+
 async def supervise(run):
     """Run a part's task until cancelled; begin it again if it fails.
 
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -11,15 +11,15 @@
 import logging
 import random
 import time
-from abc import ABC, abstractmethod
 from collections.abc import Callable
 
 from sanic.response import raw
 
+from dandelionarch.core.directory import Directory
 from dandelionarch.core.keyed_log import KeyedLog
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.retries import FleetBudget, FleetShareBudget
-from dandelionarch.core.routing_config import ActiveRouting
+from dandelionarch.core.routing_config import ActiveRouting, ConfigFormat
 from dandelionarch.core.world import EndpointState, Vm, VmState
 from dandelionarch.daemon.agent import Agent
 from dandelionarch.daemon.caller_connections import IngressProtocol
@@ -54,16 +54,6 @@
 AGENT_NOTICE_S = 1.0
 
 
-class ConfigFormat(ABC):
-    """The form in which the operator writes the configuration."""
-
-    key = ""
-
-    @abstractmethod
-    def decode(self, value):
-        """Return a `RoutingConfig`, or raise `ConfigError`."""
-
-
 @dataclasses.dataclass(frozen=True)
 class Platform:
     """What a fleet's surroundings provide, behind the product's own interfaces.
@@ -87,10 +77,9 @@
     ----------
     settings : RegistrySettings
     platform : Platform
-    directory : Directory
     """
 
-    def __init__(self, settings, platform, directory):
+    def __init__(self, settings, platform):
         cfg = settings.daemon
         self.settings = settings
         self.vm_id = VmId(cfg.vm)
@@ -105,7 +94,7 @@
             0,
             Incarnation(time.time_ns() // 1_000),
         )
-        self.directory = directory
+        self.directory = Directory()
         self.directory.put_vm(self.vm)
         self.routing = ActiveRouting()
         self.config_value = b""
--- a/dandelionarch/platform/config.py
+++ b/dandelionarch/platform/config.py
@@ -3,10 +3,10 @@
 from dandelionarch.core.routes import Route, ServiceShare
 from dandelionarch.core.routing_config import (
     CallerBounds,
+    ConfigFormat,
     RoutingConfig,
     ServiceOptions,
 )
-from dandelionarch.daemon.registry_app import ConfigFormat
 from dandelionarch.errors import ConfigError
 from dandelionarch.ids import Revision, RouteName, ServiceName
 from dandelionarch.platform.json_forms import FormError, field, number, parse
--- a/dandelionarch/platform/main.py
+++ b/dandelionarch/platform/main.py
@@ -1,13 +1,11 @@
-"""Entry point of the daemon on the users' platform."""
+"""Puts the daemon together for the users' platform."""
 
 import asyncio
 import os
 import signal
 import sys
 
-import uvloop
-
-from dandelionarch.core.directory import Directory
+from dandelionarch.daemon.parts import run_daemon
 from dandelionarch.daemon.registry_app import Platform, RegistryDaemon
 from dandelionarch.daemon.settings import read_registry_settings, split_address
 from dandelionarch.errors import DandelionError
@@ -38,7 +36,7 @@
         PlatformDialect(),
         make_apps,
     )
-    daemon = RegistryDaemon(settings, platform, Directory())
+    daemon = RegistryDaemon(settings, platform)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
     await client.start()
     try:
@@ -56,14 +54,4 @@
         return exc.exit_code
     handler = NonBlockingHandler(sys.stdout.fileno())
     setup_logs(settings.logs.level, settings.logs.style, handler=handler)
-    try:
-        uvloop.run(serve(settings))
-    except ExceptionGroup as group:
-        for exc in group.exceptions:
-            print(f"dandelion-daemon: {exc}", file=sys.stderr)
-        return max(getattr(exc, "exit_code", 1) for exc in group.exceptions)
-    return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
+    return run_daemon(serve(settings))
--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -7,7 +7,6 @@
 import aiohttp
 from aiohttp import web
 
-from dandelionarch.core.directory import Directory
 from dandelionarch.daemon.registry_app import Platform, RegistryDaemon
 from dandelionarch.daemon.settings import RegistrySettings
 from dandelionarch.platform.config import OperatorConfig
@@ -125,7 +124,7 @@
             PlatformDialect(),
             make_apps,
         )
-        daemon = RegistryDaemon(settings, platform, Directory())
+        daemon = RegistryDaemon(settings, platform)
         await daemon.start()
         self.daemons[vm] = daemon
         return daemon
