--- a/dandelionarch/platform/http_forms.py
+++ b/dandelionarch/platform/http_forms.py
@@ -4,12 +4,11 @@
 from dandelionarch.daemon.callers import (
     CallerProtocol,
     Customer,
-    parse_ms,
     problem_json,
 )
 from dandelionarch.daemon.dialect import EndpointDialect
 from dandelionarch.daemon.headers import end_to_end
-from dandelionarch.errors import BrokenAnswerError
+from dandelionarch.errors import BadRequestError, BrokenAnswerError
 
 REQUEST_ID = "X-Request-Id"
 # Milliseconds that the caller waits, counted from the arrival of the request.
@@ -21,6 +20,8 @@
 # Signature of the endpoint, without which an answer does not count.
 STAMP = "X-Response-Stamp"
 MISDIRECTED = 421
+# A day: more is taken for a malformed field.
+MAX_DEADLINE_MS = 86_400_000
 
 # These callers have no accounts; a route states its priority itself.
 NO_CUSTOMER = Customer("-", 0)
@@ -50,7 +51,7 @@
 
     def budget_ms(self, request):
         given = request.headers.get(DEADLINE)
-        return None if given is None else parse_ms(given, DEADLINE)
+        return None if given is None else _deadline_ms(given)
 
     def passed_fields(self, request):
         drop = SET_HERE | {"content-length"}
@@ -64,6 +65,17 @@
         return problem_json(status, title, request_id, outcome, headers)
 
 
+def _deadline_ms(text):
+    """Return whole milliseconds, 1 at least; the field may hold a fraction."""
+    try:
+        value = float(text)
+    except ValueError as exc:
+        raise BadRequestError(f"invalid header {DEADLINE!r}") from exc
+    if not 0 <= value < MAX_DEADLINE_MS:
+        raise BadRequestError(f"invalid header {DEADLINE!r}")
+    return max(1, int(value))
+
+
 class PlatformDialect(EndpointDialect):
     """The platform's endpoints."""
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -80,6 +80,16 @@
             status, _, _ = await ask(session, fleet, "vm-a", path)
             assert status == 404, path
 
+    @platform_test
+    async def test_deadline_with_a_fraction_is_accepted(self, fleet, session):
+        """Guards against denying a proper request for the form of a number."""
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", session=session)
+        for deadline, expected in (("1500.5", 200), ("x", 400), ("-1", 400)):
+            status, _, _ = await ask(session, fleet, "vm-a", deadline_ms=deadline)
+            assert status == expected, deadline
+
     @platform_test
     async def test_body_without_length_is_delivered_if_closed(self, fleet, session):
         """Guards against refusing a whole answer that ends with its connection."""
