--- a/dandelionarch/measure/processes.py
+++ b/dandelionarch/measure/processes.py
@@ -124,7 +124,10 @@
         self.processes = []
 
     def start_log(self, *options):
-        """Start the log stand-in."""
+        """Start the log stand-in and wait until it listens.
+
+        Otherwise a publication on a busy machine would find no log.
+        """
         self.log_process = self._start(
             "log",
             "standin",
@@ -135,6 +138,7 @@
             str(self.log_control_port),
             *options,
         )
+        wait_until_listening(self.log_port)
         return self.log_process
 
     def start_daemon(self, vm, data_centre="dc-1", seeds=(), extra=""):
@@ -299,3 +303,14 @@
 def _environment():
     root = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
     return {**os.environ, "PYTHONPATH": root}
+
+
+def wait_until_listening(port):
+    """Wait until a port of the loopback address accepts connections."""
+    limit = time.monotonic() + START_TIMEOUT_S
+    while time.monotonic() < limit:
+        with socket.socket() as sock:
+            if sock.connect_ex(("127.0.0.1", port)) == 0:
+                return
+        time.sleep(0.05)
+    raise TimeoutError(f"port {port} does not listen after {START_TIMEOUT_S} s")
