Share start and stop, endpoint records and health lines between both daemons

Both compositions had their own copy of starting, supervising and stopping; DaemonLifecycle holds it and each names its steps, tasks and working parts. The registry's entries carry the EndpointRecord that gossip already had, and compare versions with the entries that are kept instead of a second table. Watch records and logs a change of health for both watches, the pause after a failed call to the store and the set of dropped header fields stand once, and mark_health goes through put_endpoint.

--- a/dandelionarch/core/details.py
+++ b/dandelionarch/core/details.py
@@ -6,6 +6,7 @@
 from dandelionarch.core.messages.members import (
     EndpointDetail,
     EndpointQuery,
+    EndpointRecord,
     EndpointStateRecord,
     ServiceSlots,
 )
@@ -21,6 +22,22 @@
 ENDPOINTS_PER_PART = 5
 
 
+def endpoint_record(endpoint):
+    """Return the message form of an endpoint."""
+    return EndpointRecord(
+        endpoint.endpoint_id,
+        endpoint.vm_id,
+        endpoint.service,
+        endpoint.host,
+        endpoint.port,
+        endpoint.slots,
+        endpoint.connections,
+        endpoint.incarnation,
+        endpoint.state.value,
+        endpoint.health.value,
+    )
+
+
 def endpoint_of(record):
     """Return the endpoint of its message form."""
     return Endpoint(
--- a/dandelionarch/core/directory.py
+++ b/dandelionarch/core/directory.py
@@ -79,8 +79,8 @@
     def mark_health(self, endpoint_id, health):
         """Record what an endpoint's agent says of its health."""
         known = self.endpoints.get(endpoint_id)
-        if known is not None and known.health is not health:
-            self.endpoints[endpoint_id] = dataclasses.replace(known, health=health)
+        if known is not None:
+            self.put_endpoint(dataclasses.replace(known, health=health))
 
     def set_endpoint_state(self, endpoint_id, incarnation, state):
         """Record the state of an endpoint incarnation, if it is a known one."""
--- a/dandelionarch/core/messages/registry.py
+++ b/dandelionarch/core/messages/registry.py
@@ -2,19 +2,7 @@
 
 from dataclasses import dataclass
 
-
-@dataclass(frozen=True, slots=True)
-class RegisteredEndpoint:
-    """An endpoint beside a daemon as its daemon announces it."""
-
-    endpoint_id: str
-    service: str
-    host: str
-    port: int
-    slots: int
-    connections: int
-    incarnation: int
-    state: str
+from dandelionarch.core.messages.members import EndpointRecord
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +20,7 @@
     incarnation: int
     edition: int
     state: str
-    endpoints: tuple[RegisteredEndpoint, ...]
+    endpoints: tuple[EndpointRecord, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/core/registry.py
+++ b/dandelionarch/core/registry.py
@@ -2,16 +2,10 @@
 
 import dataclasses
 
-from dandelionarch.core.messages.registry import RegisteredEndpoint, VmEntry
-from dandelionarch.core.world import Endpoint, EndpointState, Vm, VmState
-from dandelionarch.ids import (
-    DataCentreId,
-    EndpointId,
-    Incarnation,
-    RegionId,
-    ServiceName,
-    VmId,
-)
+from dandelionarch.core.details import endpoint_of, endpoint_record
+from dandelionarch.core.messages.registry import VmEntry
+from dandelionarch.core.world import Health, Vm, VmState
+from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 
 
 class Registry:
@@ -31,7 +25,6 @@
         self.vm = vm
         self._directory = directory
         self._edition = 0
-        self._known = {}
         self._entries = {}
         self._own_read = (0, 0)
 
@@ -62,9 +55,8 @@
         """Take in an entry; return True if this daemon must write its own again."""
         if entry.vm_id == self.vm.vm_id:
             return self._own_seen(entry)
-        version = (entry.incarnation, entry.edition)
-        if version > self._known.get(entry.vm_id, (0, 0)):
-            self._known[entry.vm_id] = version
+        known = self._entries.get(entry.vm_id)
+        if known is None or _version(entry) > _version(known):
             self._entries[entry.vm_id] = entry
             self._put(entry)
         return False
@@ -80,9 +72,8 @@
             self.vm = dataclasses.replace(self.vm, incarnation=incarnation)
             self._directory.put_vm(self.vm)
             return True
-        version = (entry.incarnation, entry.edition)
-        late = version < self._own_read
-        self._own_read = max(version, self._own_read)
+        late = _version(entry) < self._own_read
+        self._own_read = max(_version(entry), self._own_read)
         return late
 
     def _put(self, entry):
@@ -99,7 +90,7 @@
             VmState(entry.state),
         )
         self._directory.put_vm(vm)
-        endpoints = [_endpoint(vm.vm_id, told) for told in entry.endpoints]
+        endpoints = [endpoint_of(record) for record in entry.endpoints]
         kept = {endpoint.endpoint_id for endpoint in endpoints}
         for known in self._directory.endpoints_of_vm(vm.vm_id):
             if known.endpoint_id not in kept:
@@ -108,28 +99,10 @@
             self._directory.put_endpoint(endpoint)
 
 
+def _version(entry):
+    return entry.incarnation, entry.edition
+
+
 def _registered(endpoint):
-    return RegisteredEndpoint(
-        endpoint.endpoint_id,
-        endpoint.service,
-        endpoint.host,
-        endpoint.port,
-        endpoint.slots,
-        endpoint.connections,
-        endpoint.incarnation,
-        endpoint.state.value,
-    )
-
-
-def _endpoint(vm_id, told):
-    return Endpoint(
-        EndpointId(told.endpoint_id),
-        vm_id,
-        ServiceName(told.service),
-        told.host,
-        told.port,
-        told.slots,
-        told.connections,
-        Incarnation(told.incarnation),
-        EndpointState(told.state),
-    )
+    # Links tell of health at once; in an entry it would be that of the last write.
+    return endpoint_record(dataclasses.replace(endpoint, health=Health.HEALTHY))
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -10,7 +10,6 @@
 from dandelionarch.core.announcements import CHECK_PERIOD_S, Announcements
 from dandelionarch.core.checkpoints import Retention
 from dandelionarch.core.config import CONFIG_STREAM, ConfigFold, Verdict
-from dandelionarch.core.directory import Directory
 from dandelionarch.core.issued_keys import KeyIssuer
 from dandelionarch.core.lists import CustomerKeys, routes_of
 from dandelionarch.core.messages import request as msgs
@@ -25,23 +24,20 @@
 from dandelionarch.daemon.health import HealthWatch
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
+from dandelionarch.daemon.lifecycle import DaemonLifecycle
 from dandelionarch.daemon.limits import Limits
 from dandelionarch.daemon.link import PeerNetwork
-from dandelionarch.daemon.listening import close_listener
 from dandelionarch.daemon.logclient import LogClient
 from dandelionarch.daemon.order_home import OrderHomes
 from dandelionarch.daemon.orders import OrderGate
-from dandelionarch.daemon.parts import run_steps, serve_app, supervise
 from dandelionarch.daemon.streams import StreamService
-from dandelionarch.errors import LinkError, StartError, StopError
+from dandelionarch.errors import LinkError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
 from dandelionarch.metrics import statsd_metrics
 
 log = logging.getLogger(__name__)
 
-STOP_POLL_S = 0.02
-
 
 class ActiveConfig:
     """The accepted configuration with its lookup tables."""
@@ -66,27 +62,26 @@
         self.lists = lists
 
 
-class Daemon:
+class Daemon(DaemonLifecycle):
     """All parts of one daemon in one process and loop."""
 
     def __init__(self, settings):
         cfg = settings.daemon
-        self.settings = settings
-        self.vm_id = VmId(cfg.vm)
-        self.vm = Vm(
-            self.vm_id,
-            DataCentreId(cfg.data_centre),
-            RegionId(cfg.region),
-            cfg.host,
-            cfg.ingress_port,
-            cfg.peer_port,
-            cfg.gossip_port,
-            cfg.admin_port,
-            # The digits below a millisecond serve as the random part.
-            Incarnation(time.time_ns() // 1_000),
+        super().__init__(
+            Vm(
+                VmId(cfg.vm),
+                DataCentreId(cfg.data_centre),
+                RegionId(cfg.region),
+                cfg.host,
+                cfg.ingress_port,
+                cfg.peer_port,
+                cfg.gossip_port,
+                cfg.admin_port,
+                # The digits below a millisecond serve as the random part.
+                Incarnation(time.time_ns() // 1_000),
+            )
         )
-        self.directory = Directory()
-        self.directory.put_vm(self.vm)
+        self.settings = settings
         self.active = ActiveConfig()
         self.client = LogClient(cfg.log_url)
         self.network = PeerNetwork(self.vm_id, cfg.shared_key.encode(), self._address)
@@ -151,48 +146,31 @@
         self.ingress.fetch_endpoints = self.gossip.ensure
         self.gossip.carry_addresses(self.fleet.fold.addresses)
         self.announcements = Announcements()
-        self._servers = []
-        self._tasks = []
         self._stop_requested = None
         self._drained = {}
 
     async def run(self, stop):
-        """Serve until the `stop` event is set, then shut down gracefully.
-
-        Raises
-        ------
-        ExceptionGroup
-            Of `StartError` or `StopError`, one per part that failed.
-        """
         self._stop_requested = stop
-        await self.start()
-        event(log, "daemon_started", vm=self.vm_id, incarnation=self.vm.incarnation)
-        await stop.wait()
-        await self.drain()
-        await self.stop()
-        event(log, "daemon_stopped", vm=self.vm_id)
+        await super().run(stop)
 
-    async def start(self):
-        """Open all ports and start all tasks, or report every part that fails."""
+    def _start_steps(self):
         cfg = self.settings.daemon
-        steps = {
+        host = cfg.host
+        return {
             "log client": self.client.start(),
             "agent": self.agent.start(),
-            f"peer port {cfg.peer_port}": self.network.start(cfg.host, cfg.peer_port),
-            f"gossip port {cfg.gossip_port}": self.gossip.start(
-                cfg.host, cfg.gossip_port
+            f"peer port {cfg.peer_port}": self.network.start(host, cfg.peer_port),
+            f"gossip port {cfg.gossip_port}": self.gossip.start(host, cfg.gossip_port),
+            f"admin port {cfg.admin_port}": self._serve(
+                self.admin.app, host, cfg.admin_port
             ),
-            f"admin port {cfg.admin_port}": self._serve(self.admin.app, cfg.admin_port),
             f"ingress port {cfg.ingress_port}": self._serve(
-                self.http.app, cfg.ingress_port, IngressProtocol
+                self.http.app, host, cfg.ingress_port, IngressProtocol
             ),
         }
-        errors = await run_steps(steps, StartError)
-        if errors:
-            with contextlib.suppress(ExceptionGroup):
-                await self.stop()
-            raise ExceptionGroup("daemon could not start", errors)
-        for run in (
+
+    def _task_functions(self):
+        return (
             self.streams.run,
             self.gossip.run,
             self.gossip.run_seeds,
@@ -201,20 +179,20 @@
             self.health.run,
             self.order_homes.run,
             self.limits.run,
-        ):
-            self._tasks.append(asyncio.create_task(supervise(run)))
+        )
 
-    async def _serve(self, app, port, protocol=None):
-        host = self.settings.daemon.host
-        self._servers.append(await serve_app(app, host, port, protocol))
+    def _stop_steps(self):
+        return {
+            "gossip": self._stop_gossip(),
+            "agent": self.agent.stop(),
+            "peer network": self.network.stop(),
+            "log client": self.client.stop(),
+        }
 
-    def _busy(self):
-        """Return True while work is in flight here or answers wait to be sent."""
-        parts = (self.agent, self.http, self.orders)
-        return any(part.in_flight for part in parts) or self.network.unsent() > 0
+    def _working_parts(self):
+        return (*super()._working_parts(), self.orders)
 
     async def drain(self):
-        """Tell the peers, refuse new work, and finish what is in flight."""
         event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
         self.gossip.leave()
         for link in self.network.all_links():
@@ -222,38 +200,13 @@
                 link.send(msgs.Leaving(self.vm_id))
         self.http.refuse_new_work()
         self.agent.stopping = True
-        loop = asyncio.get_running_loop()
-        limit = loop.time() + self.settings.limits.stop_timeout_s
-        while self._busy() and loop.time() < limit:
-            await asyncio.sleep(STOP_POLL_S)
+        limit = asyncio.get_running_loop().time() + self.settings.limits.stop_timeout_s
+        await self._finish_work(limit)
         await self.fleet.leave()
-        await asyncio.gather(*map(close_listener, self._servers))
-        for server in self._servers:
-            await self.http.close_idle(server, limit)
-        if self.agent.in_flight or self.http.in_flight:
-            event(
-                log,
-                "stop_timeout",
-                logging.ERROR,
-                in_flight=self.agent.in_flight + self.http.in_flight,
-            )
+        await self._close_callers(limit)
 
-    async def stop(self):
-        """Close all ports and links and end all tasks."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for server in self._servers:
-            server.close()
+    async def _stop_gossip(self):
         self.gossip.stop()
-        steps = {
-            "agent": self.agent.stop(),
-            "peer network": self.network.stop(),
-            "log client": self.client.stop(),
-        }
-        errors = await run_steps(steps, StopError)
-        if errors:
-            raise ExceptionGroup("daemon did not stop properly", errors)
 
     async def _watch_endpoints(self):
         """Treat endpoints that no longer announce themselves as gone."""
@@ -349,7 +302,3 @@
     def _accepted_lists(self):
         state = self.config.state
         return (state.revision, state.lists) if state.revision else None
-
-    def _address(self, vm_id):
-        vm = self.directory.vms.get(vm_id)
-        return None if vm is None else (vm.host, vm.peer_port)
--- a/dandelionarch/daemon/follower.py
+++ b/dandelionarch/daemon/follower.py
@@ -15,6 +15,11 @@
 RETRY_MAX_S = 1.0
 
 
+def retry_pause_s(rng):
+    """Return the time until a call to the store that failed is made again."""
+    return rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+
+
 class Follower:
     """Hands every batch of a topic's records to `on_records`, oldest first.
 
@@ -52,7 +57,7 @@
                 continue
             except PlatformError as exc:
                 self._lost(exc)
-                await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+                await asyncio.sleep(retry_pause_s(self._rng))
                 continue
             self._regained()
             self._offset = batch.end
--- a/dandelionarch/daemon/gossip.py
+++ b/dandelionarch/daemon/gossip.py
@@ -9,6 +9,7 @@
 
 from dandelionarch.core import member_events as events
 from dandelionarch.core import members as table_of
+from dandelionarch.core.details import endpoint_record
 from dandelionarch.core.membership import TICK_S, Membership
 from dandelionarch.core.messages import members as msgs
 from dandelionarch.core.messages.request import Leaving
@@ -51,22 +52,6 @@
     )
 
 
-def endpoint_record(endpoint):
-    """Return the message form of an endpoint."""
-    return msgs.EndpointRecord(
-        endpoint.endpoint_id,
-        endpoint.vm_id,
-        endpoint.service,
-        endpoint.host,
-        endpoint.port,
-        endpoint.slots,
-        endpoint.connections,
-        endpoint.incarnation,
-        endpoint.state.value,
-        endpoint.health.value,
-    )
-
-
 class Gossip(asyncio.DatagramProtocol):
     """Carries out the membership's commands and feeds the directory.
 
--- a/dandelionarch/daemon/health.py
+++ b/dandelionarch/daemon/health.py
@@ -58,9 +58,8 @@
     """
 
     def __init__(self, network, directory, vm_id, claims=None, rng=None):
-        super().__init__()
+        super().__init__(directory)
         self._network = network
-        self._directory = directory
         self._vm_id = vm_id
         self._claims = claims
         self._rng = rng or random.Random()
@@ -161,15 +160,8 @@
     def _show(self, endpoint):
         marked = self.marked(endpoint)
         if marked.health is not endpoint.health:
-            self._directory.put_endpoint(marked)
-            event(
-                log,
-                "endpoint_health",
-                logging.WARNING,
-                endpoint=endpoint.endpoint_id,
-                health=marked.health.value,
-                score=self._state(endpoint).ejection.score,
-            )
+            score = self._state(endpoint).ejection.score
+            self._record_health(marked, score=score)
 
     async def _claim(self, endpoint, score):
         key = (endpoint.endpoint_id, endpoint.incarnation)
--- /dev/null
+++ b/dandelionarch/daemon/lifecycle.py
@@ -0,0 +1,124 @@
+"""Start and stop of a daemon, whatever parts it is made of."""
+
+import asyncio
+import contextlib
+import logging
+from abc import ABC, abstractmethod
+
+from dandelionarch.core.directory import Directory
+from dandelionarch.daemon.listening import close_listener
+from dandelionarch.daemon.parts import run_steps, serve_app, supervise
+from dandelionarch.errors import StartError, StopError
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+STOP_POLL_S = 0.02
+
+
+class DaemonLifecycle(ABC):
+    """Owns a daemon's servers and tasks; subclasses build its parts.
+
+    Subclasses set `network`, `agent` and `http`.
+
+    Parameters
+    ----------
+    vm : Vm
+        The VM of this daemon.
+    """
+
+    def __init__(self, vm):
+        self.vm = vm
+        self.vm_id = vm.vm_id
+        self.directory = Directory()
+        self.directory.put_vm(vm)
+        self._servers = []
+        self._tasks = []
+
+    @abstractmethod
+    def _start_steps(self):
+        """Return the coroutines that open ports and pools, by what they open."""
+
+    @abstractmethod
+    def _stop_steps(self):
+        """Return the coroutines that close them, by what they close."""
+
+    @abstractmethod
+    def _task_functions(self):
+        """Return the coroutine functions that run until the daemon stops."""
+
+    @abstractmethod
+    async def drain(self):
+        """Tell the peers, take no new work, and finish what is in flight."""
+
+    def _working_parts(self):
+        """Return the parts whose `in_flight` counts work that a stop waits for."""
+        return (self.agent, self.http)
+
+    async def run(self, stop):
+        """Serve until the `stop` event is set, then shut down gracefully.
+
+        Raises
+        ------
+        ExceptionGroup
+            Of `StartError` or `StopError`, one per part that failed.
+        """
+        await self.start()
+        event(log, "daemon_started", vm=self.vm_id, incarnation=self.vm.incarnation)
+        await stop.wait()
+        await self.drain()
+        await self.stop()
+        event(log, "daemon_stopped", vm=self.vm_id)
+
+    async def start(self):
+        """Open all ports and start all tasks, or report every part that fails."""
+        errors = await run_steps(self._start_steps(), StartError)
+        if errors:
+            with contextlib.suppress(ExceptionGroup):
+                await self.stop()
+            raise ExceptionGroup("daemon could not start", errors)
+        for run in self._task_functions():
+            self._tasks.append(asyncio.create_task(supervise(run)))
+
+    async def _serve(self, app, host, port, protocol=None):
+        self._servers.append(await serve_app(app, host, port, protocol))
+
+    async def _finish_work(self, limit):
+        """Wait until nothing is in flight or unsent, until loop time `limit`."""
+        loop = asyncio.get_running_loop()
+        while self._busy() and loop.time() < limit:
+            await asyncio.sleep(STOP_POLL_S)
+
+    def _busy(self):
+        """Return True while work is in flight here or answers wait to be sent."""
+        in_flight = any(part.in_flight for part in self._working_parts())
+        return in_flight or self.network.unsent() > 0
+
+    async def _close_callers(self, limit):
+        """Close the listeners, and callers' connections after their last response."""
+        await asyncio.gather(*map(close_listener, self._servers))
+        for server in self._servers:
+            await self.http.close_idle(server, limit)
+        if self.agent.in_flight or self.http.in_flight:
+            event(
+                log,
+                "stop_timeout",
+                logging.ERROR,
+                in_flight=self.agent.in_flight + self.http.in_flight,
+            )
+
+    async def stop(self):
+        """Close all ports and links and end all tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers:
+            server.close()
+        errors = await run_steps(self._stop_steps(), StopError)
+        if errors:
+            raise ExceptionGroup("daemon did not stop properly", errors)
+
+    def _address(self, vm_id):
+        """Return the peer address (host, port) of a VM, or None if it is unknown."""
+        vm = self.directory.vms.get(vm_id)
+        return None if vm is None else (vm.host, vm.peer_port)
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -7,7 +7,7 @@
 
 from dandelionarch.core.keyed_log import KeyedRecord
 from dandelionarch.core.registry import Registry
-from dandelionarch.daemon.follower import Follower
+from dandelionarch.daemon.follower import Follower, retry_pause_s
 from dandelionarch.errors import MessageDecodeError, PlatformError
 from dandelionarch.logs import event
 from dandelionarch.wire.codec import Channel
@@ -18,8 +18,6 @@
 GATHER_S = 0.2
 # Endpoints report every 1.5 s or so.
 FIRST_ENTRY_S = 2.0
-RETRY_MIN_S = 0.2
-RETRY_MAX_S = 1.0
 
 
 class RegistryService:
@@ -91,7 +89,7 @@
                     detail=exc,
                 )
                 self._changed.set()
-                await asyncio.sleep(self._rng.uniform(RETRY_MIN_S, RETRY_MAX_S))
+                await asyncio.sleep(retry_pause_s(self._rng))
 
     async def _write(self):
         entry = self._registry.entry()
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import dataclasses
 import logging
 import random
@@ -15,7 +14,6 @@
 
 from sanic.response import raw
 
-from dandelionarch.core.directory import Directory
 from dandelionarch.core.keyed_log import KeyedLog
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.retries import FleetBudget, FleetShareBudget
@@ -29,29 +27,25 @@
 from dandelionarch.daemon.follower import Follower
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
+from dandelionarch.daemon.lifecycle import STOP_POLL_S, DaemonLifecycle
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.link_keeper import LinkKeeper
-from dandelionarch.daemon.listening import close_listener
-from dandelionarch.daemon.parts import new_app, run_steps, serve_app, supervise
+from dandelionarch.daemon.parts import new_app
 from dandelionarch.daemon.registry import RegistryService
 from dandelionarch.daemon.settings import split_address
 from dandelionarch.daemon.state_copy import StateCopies
 from dandelionarch.daemon.watch import GateWatch
-from dandelionarch.errors import ConfigError, StartError, StopError
+from dandelionarch.errors import ConfigError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
 from dandelionarch.metrics import PageMetrics
 
 log = logging.getLogger(__name__)
 
-STOP_POLL_S = 0.02
 # Idempotent requests that try an endpoint behind a closed gate. A failed trial costs
 # the request one more attempt, and a spell of failures is over only when one shows.
-TRIAL_SHARE = 0.15
+GATE_TRIAL_SHARE = 0.15
 IDLE_PING_S = 2.0
-# The endpoint here serves on while callers are served, but for this last part, in
-# which most of what it runs ends.
-AGENT_NOTICE_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -70,7 +64,7 @@
     make_apps: Callable
 
 
-class RegistryDaemon:
+class RegistryDaemon(DaemonLifecycle):
     """All parts of one daemon in one process and loop.
 
     Parameters
@@ -81,21 +75,20 @@
 
     def __init__(self, settings, platform):
         cfg = settings.daemon
-        self.settings = settings
-        self.vm_id = VmId(cfg.vm)
-        self.vm = Vm(
-            self.vm_id,
-            DataCentreId(cfg.data_centre),
-            RegionId(cfg.region),
-            cfg.host,
-            settings.listen.callers_address[1],
-            settings.listen.peer_port,
-            0,
-            0,
-            Incarnation(time.time_ns() // 1_000),
+        super().__init__(
+            Vm(
+                VmId(cfg.vm),
+                DataCentreId(cfg.data_centre),
+                RegionId(cfg.region),
+                cfg.host,
+                settings.listen.callers_address[1],
+                settings.listen.peer_port,
+                0,
+                0,
+                Incarnation(time.time_ns() // 1_000),
+            )
         )
-        self.directory = Directory()
-        self.directory.put_vm(self.vm)
+        self.settings = settings
         self.routing = ActiveRouting()
         self.config_value = b""
         self._platform = platform
@@ -104,8 +97,6 @@
         self._most_vms = 1
         self._build_path(cfg)
         self._build_state()
-        self._servers = []
-        self._tasks = []
 
     def _build_path(self, cfg):
         self.metrics = PageMetrics()
@@ -124,7 +115,12 @@
             self.directory,
             self.agent,
             self._rng,
-            IngressRules(TRIAL_SHARE, True, self._make_budget, gates_told=True),
+            IngressRules(
+                trial_share=GATE_TRIAL_SHARE,
+                links_kept_open=True,
+                make_budget=self._make_budget,
+                gates_told=True,
+            ),
         )
         self.http = IngressHttp(
             self.ingress,
@@ -168,23 +164,7 @@
         """Return True while callers may send new work here."""
         return self.routing.ready and not self._stopping
 
-    async def run(self, stop):
-        """Serve until the `stop` event is set, then shut down gracefully.
-
-        Raises
-        ------
-        ExceptionGroup
-            Of `StartError` or `StopError`, one per part that failed.
-        """
-        await self.start()
-        event(log, "daemon_started", vm=self.vm_id, incarnation=self.vm.incarnation)
-        await stop.wait()
-        await self.drain()
-        await self.stop()
-        event(log, "daemon_stopped", vm=self.vm_id)
-
-    async def start(self):
-        """Open all ports and start all tasks, or report every part that fails."""
+    def _start_steps(self):
         listen = self.settings.listen
         host, port = listen.callers_address
         steps = {
@@ -202,22 +182,19 @@
             steps[f"metrics port {port}"] = self._serve(app, host, port)
         for app, (host, port) in self._platform.make_apps(self):
             steps[f"port {port}"] = self._serve(app, host, port)
-        errors = await run_steps(steps, StartError)
-        if errors:
-            with contextlib.suppress(ExceptionGroup):
-                await self.stop()
-            raise ExceptionGroup("daemon could not start", errors)
-        for run in (
+        return steps
+
+    def _task_functions(self):
+        return (
             self._config_follower.run,
             self.registry.follower.run,
             self.registry.run,
             self._keeper.run,
             self._copies.run,
-        ):
-            self._tasks.append(asyncio.create_task(supervise(run)))
+        )
 
-    async def _serve(self, app, host, port, protocol=None):
-        self._servers.append(await serve_app(app, host, port, protocol))
+    def _stop_steps(self):
+        return {"agent": self.agent.stop(), "peer network": self.network.stop()}
 
     def reload(self):
         """Take note of changed settings; what they hold is read at the next start."""
@@ -244,11 +221,6 @@
         self.metrics.incr(f"endpoint_health.{endpoint.health.value}")
         self.agent.announce_load(endpoint)
 
-    def _busy(self):
-        """Return True while work is in flight here or answers wait to be sent."""
-        in_flight = self.agent.in_flight or self.http.in_flight
-        return bool(in_flight) or self.network.unsent() > 0
-
     async def drain(self):
         """Tell the peers, take no new work, and finish what is in flight.
 
@@ -266,32 +238,10 @@
         while self.agent.in_flight and loop.time() < limit:
             await asyncio.sleep(STOP_POLL_S)
         self.http.refuse_new_work()
-        while self._busy() and loop.time() < limit:
-            await asyncio.sleep(STOP_POLL_S)
-        await asyncio.gather(*map(close_listener, self._servers))
-        for server in self._servers:
-            await self.http.close_idle(server, limit)
+        await self._finish_work(limit)
+        await self._close_callers(limit)
         leave.cancel()
         await asyncio.gather(leave, return_exceptions=True)
-        if self._busy():
-            event(
-                log,
-                "stop_timeout",
-                logging.ERROR,
-                in_flight=self.agent.in_flight + self.http.in_flight,
-            )
-
-    async def stop(self):
-        """Close all ports and links and end all tasks."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        for server in self._servers:
-            server.close()
-        steps = {"agent": self.agent.stop(), "peer network": self.network.stop()}
-        errors = await run_steps(steps, StopError)
-        if errors:
-            raise ExceptionGroup("daemon did not stop properly", errors)
 
     def _on_config(self, records):
         for record in records:
@@ -344,10 +294,6 @@
             event(log, "peer_leaving", vm=vm.vm_id)
             self.directory.put_vm(dataclasses.replace(vm, state=VmState.LEAVING))
 
-    def _address(self, vm_id):
-        vm = self.directory.vms.get(vm_id)
-        return None if vm is None else (vm.host, vm.peer_port)
-
 
 def metrics_app(metrics):
     """Return the application that serves the page of metrics at any path."""
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -31,7 +31,8 @@
 class Watch(ABC):
     """Judges the endpoints of one VM by the runs that the agent reports."""
 
-    def __init__(self):
+    def __init__(self, directory):
+        self._directory = directory
         self.on_eject = lambda endpoint_id: None
 
     @abstractmethod
@@ -58,6 +59,18 @@
     def ended(self, endpoint, run, reason, kind):
         """Take note of the end of an attempt that was let in."""
 
+    def _record_health(self, endpoint, **fields):
+        """Record and log an endpoint whose health has changed."""
+        self._directory.put_endpoint(endpoint)
+        event(
+            log,
+            "endpoint_health",
+            logging.WARNING,
+            endpoint=endpoint.endpoint_id,
+            health=endpoint.health.value,
+            **fields,
+        )
+
 
 class GateWatch(Watch):
     """One gate per endpoint.
@@ -72,8 +85,7 @@
     """
 
     def __init__(self, directory, now):
-        super().__init__()
-        self._directory = directory
+        super().__init__(directory)
         self._now = now
         self._gates = {}
         self._statuses = {}
@@ -137,16 +149,7 @@
         marked = self.marked(known)
         if marked.health is known.health:
             return
-        self._directory.put_endpoint(marked)
-        event(
-            log,
-            "endpoint_health",
-            logging.WARNING,
-            endpoint=endpoint.endpoint_id,
-            health=marked.health.value,
-            request=run.head.request_id,
-            result=result.value,
-        )
+        self._record_health(marked, request=run.head.request_id, result=result.value)
         if marked.health is not Health.HEALTHY:
             self.on_eject(endpoint.endpoint_id)
         self.on_change(marked)
--- a/dandelionarch/platform/http_forms.py
+++ b/dandelionarch/platform/http_forms.py
@@ -25,8 +25,16 @@
 
 # These callers have no accounts; a route states its priority itself.
 NO_CUSTOMER = Customer("-", 0)
-SET_HERE = frozenset(
-    name.lower() for name in (REQUEST_ID, DEADLINE, CALLER_SERVICE, EXPECT_INSTANCE)
+# Set anew by this daemon or by the HTTP client.
+DROPPED = frozenset(
+    name.lower()
+    for name in (
+        REQUEST_ID,
+        DEADLINE,
+        CALLER_SERVICE,
+        EXPECT_INSTANCE,
+        "Content-Length",
+    )
 )
 KEPT = frozenset({"host", "authorization"})
 
@@ -54,8 +62,7 @@
         return None if given is None else _deadline_ms(given)
 
     def passed_fields(self, request):
-        drop = SET_HERE | {"content-length"}
-        fields = end_to_end(request.headers.items(), drop=drop, keep=KEPT)
+        fields = end_to_end(request.headers.items(), drop=DROPPED, keep=KEPT)
         return (*fields, self._caller)
 
     def problem(self, status, title, request_id, outcome, retry_after_s=None):
--- a/dandelionarch/wire/registry.capnp
+++ b/dandelionarch/wire/registry.capnp
@@ -1,15 +1,6 @@
 @0xb7d2c6a19e3f4805;
 
-struct RegisteredEndpoint {
-  endpointId @0 :Text;
-  service @1 :Text;
-  host @2 :Text;
-  port @3 :UInt16;
-  slots @4 :UInt32;
-  connections @5 :UInt32;
-  incarnation @6 :UInt64;
-  state @7 :Text;
-}
+using Members = import "members.capnp";
 
 struct VmEntry {
   vmId @0 :Text;
@@ -20,7 +11,7 @@
   incarnation @5 :UInt64;
   edition @6 :UInt64;
   state @7 :Text;
-  endpoints @8 :List(RegisteredEndpoint);
+  endpoints @8 :List(Members.EndpointRecord);
 }
 
 struct StateQuery {
