Let agents ask for the trials of their closed gates

Cause: 15% of idempotent requests tried a closed gate at random.

Change: the agent of a closed gate invites three of the ingresses that sent it idempotent work lately, again every half second; an invited ingress sends its next such request.

Ruled out by trial in the simulation of tests/test_gate_load.py: a share of requests equal to the share of closed gates when that is over 0.4. It opens the gates of a wave as fast, but does nothing for few closed gates in a large fleet. A pace by each ingress' clock depends on how many ingresses have idempotent work, which nobody knows.

--- a/dandelionarch/core/gate.py
+++ b/dandelionarch/core/gate.py
@@ -61,6 +61,12 @@
         waited_s = now - max(self._closed_at, self._idempotent_seen)
         return idempotent or waited_s >= ANY_TRIAL_AFTER_S
 
+    def wants_trial(self, now):
+        """Return True if the gate is closed and would let a trial in now."""
+        if self._closed_at is None or self._trial_running is not None:
+            return False
+        return now >= self._next_trial
+
     def began(self, run, now):
         """Take note that a request goes to the endpoint."""
         if self._closed_at is not None and self._trial_running is None:
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -119,6 +119,13 @@
     attempt_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class TrialInvite:
+    """An agent asks for an idempotent request to an endpoint behind a closed gate."""
+
+    endpoint_id: str
+
+
 @dataclass(frozen=True, slots=True)
 class Leaving:
     """The sender takes no new work and is about to stop."""
@@ -153,4 +160,5 @@
     Ping,
     Pong,
     LoadNotice,
+    TrialInvite,
 )
--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -41,7 +41,7 @@
 
     `in_flight` counts this ingress's own requests; `reported` those of others, as
     the endpoint's agent told `age_s` seconds ago; `near` says that the endpoint is
-    in the ingress's data centre.
+    in the ingress's data centre, `invited` that its agent asks for a trial.
     """
 
     endpoint: object
@@ -52,6 +52,7 @@
     warmup: float = 1.0
     health: Health = Health.HEALTHY
     health_age_s: float = 0.0
+    invited: bool = False
     link_faults: int = 0
     age_s: float = math.inf
     near: bool = True
@@ -188,6 +189,18 @@
     return sum(values) / len(values)
 
 
+def invited_first(candidates, drops):
+    """Keep endpoints whose agents have asked for a trial, if there are any."""
+    cands = list(candidates)
+    asking = [c for c in cands if c.invited and c.health is Health.TRIAL]
+    ids = {id(c) for c in asking or cands}
+    for cand in cands:
+        if id(cand) in ids:
+            yield cand
+        else:
+            drops.append(Drop(cand.endpoint.endpoint_id, "invited", "trial first"))
+
+
 def healthy_first(candidates, drops, rng, trial_share):
     """Prefer healthy endpoints; demoted ones take what these have no slot for.
 
@@ -267,12 +280,13 @@
     skip=frozenset(),
     trial_share=TRIAL_SHARE,
     only_healthy=False,
+    may_try=False,
 ):
     """Run the pipeline and return the `Decision`.
 
     `trial_share` is the share of requests that try unhealthy endpoints; with
-    `only_healthy` none that takes trials only is chosen; `skip` names stages that a
-    measurement switches off.
+    `only_healthy` none that takes trials only is chosen, with `may_try` one that asks
+    for a trial comes first; `skip` names stages that a measurement switches off.
     """
     decision = Decision()
     drops = decision.drops
@@ -285,6 +299,8 @@
     stream = not_ejected(stream, drops)
     if only_healthy:
         stream = gate_open(stream, drops)
+    if may_try:
+        stream = invited_first(stream, drops)
     if "not_full" not in skip:
         stream = not_full(stream, drops)
     stream = healthy_first(stream, drops, rng, trial_share)
--- /dev/null
+++ b/dandelionarch/core/trials.py
@@ -0,0 +1,75 @@
+"""Trials of endpoints whose gates are closed: whom an agent asks for one.
+
+A share of all requests would try each closed gate more rarely the larger a fleet is and
+the fewer requests are idempotent. So the agent asks some ingresses that have sent it
+idempotent work lately, and one of them sends its next such request.
+"""
+
+from dandelionarch.ids import EndpointId
+
+# An invited ingress has a request for the service every second or so in a large fleet,
+# so several are invited; all but the first are refused at the gate, before any run.
+INVITED = 3
+INVITE_PERIOD_S = 0.5
+INVITE_VALID_S = 1.0
+ASKERS_KEPT = 16
+
+
+class TrialInviter:
+    """Decides when an agent invites trials of one endpoint, and whom.
+
+    Ingresses are any hashable objects; times are in seconds.
+    """
+
+    def __init__(self, rng):
+        self._rng = rng
+        self._askers = {}
+        self._next = 0.0
+
+    def asked(self, ingress):
+        """Take note that an ingress has idempotent work for the endpoint."""
+        self._askers.pop(ingress, None)
+        self._askers[ingress] = True
+        while len(self._askers) > ASKERS_KEPT:
+            del self._askers[next(iter(self._askers))]
+
+    def lost(self, ingress):
+        """Forget an ingress whose link has ended."""
+        self._askers.pop(ingress, None)
+
+    def trial_ended(self):
+        """Take note that the next trial may be asked for at once."""
+        self._next = 0.0
+
+    def due(self, gate, now):
+        """Return the ingresses to invite now, most often none."""
+        if now < self._next or not self._askers or not gate.wants_trial(now):
+            return []
+        self._next = now + INVITE_PERIOD_S
+        askers = list(self._askers)
+        return self._rng.sample(askers, min(INVITED, len(askers)))
+
+
+class TrialInvites:
+    """The invitations that one ingress holds."""
+
+    def __init__(self):
+        self._until = {}
+
+    def invited(self, endpoint_id: EndpointId, now):
+        """Take note of an invitation."""
+        self._until[endpoint_id] = now + INVITE_VALID_S
+
+    def holds(self, endpoint_id, now):
+        """Return True if a trial of an endpoint is asked for."""
+        until = self._until.get(endpoint_id)
+        if until is None:
+            return False
+        if now > until:
+            del self._until[endpoint_id]
+            return False
+        return True
+
+    def used(self, endpoint_id):
+        """Take note that a request goes to an endpoint."""
+        self._until.pop(endpoint_id, None)
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -173,6 +173,8 @@
 
     def _on_head(self, link, head):
         local = self._endpoint(head.endpoint_id)
+        if local is not None:
+            self._watch.asked(local.endpoint, link, head.idempotent)
         reason = self._refusal_reason(local, head)
         run = Run(link, head)
         if reason is None:
--- a/dandelionarch/daemon/endpoint_views.py
+++ b/dandelionarch/daemon/endpoint_views.py
@@ -8,6 +8,7 @@
 from dandelionarch.core.refusals import RefusalMemory
 from dandelionarch.core.retries import RetryBudget
 from dandelionarch.core.selection import TRIAL_SHARE, Candidate
+from dandelionarch.core.trials import TrialInvites
 from dandelionarch.core.world import Health
 
 
@@ -58,6 +59,7 @@
         self._loads = {}
         self._refusals = RefusalMemory()
         self._link_faults = LinkFaults()
+        self._invites = TrialInvites()
 
     def candidates(self, service):
         """Return a `Candidate` for each endpoint of a service."""
@@ -72,6 +74,7 @@
                 cand.near = vm.data_centre == own.data_centre
             self._add_link(cand, now)
             self._add_report(cand, now)
+            cand.invited = self._invites.holds(endpoint.endpoint_id, now)
             candidates.append(cand)
         return candidates
 
@@ -96,6 +99,8 @@
 
     def count(self, endpoint_id, by):
         """Add to the own requests in flight at an endpoint."""
+        if by > 0:
+            self._invites.used(endpoint_id)
         left = self._in_flight.get(endpoint_id, 0) + by
         if left:
             self._in_flight[endpoint_id] = left
@@ -111,6 +116,10 @@
         if self._rules.gates_told:
             self._directory.mark_health(report.endpoint_id, Health(report.health))
 
+    def invited(self, endpoint_id):
+        """Take note that an agent asks for a trial of its endpoint."""
+        self._invites.invited(endpoint_id, asyncio.get_running_loop().time())
+
     def refused(self, endpoint_id):
         """Take note that an endpoint has refused work."""
         self._refusals.refused(endpoint_id, asyncio.get_running_loop().time())
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -55,6 +55,9 @@
             lambda link, msg: self._on_credit(link, msg, agent),
         )
         network.subscribe(msgs.LoadNotice, lambda link, msg: self._note_load(msg.load))
+        network.subscribe(
+            msgs.TrialInvite, lambda link, msg: self._views.invited(msg.endpoint_id)
+        )
         network.on_lost(self._on_link_lost)
 
     async def run(self, work, req, deadline):
@@ -146,6 +149,7 @@
             tried,
             trial_share=trial_share,
             only_healthy=self._rules.gates_told and not work.idempotent,
+            may_try=work.idempotent and not tried,
         )
 
     async def _attempt(self, life, work, req, command):
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import dataclasses
 import logging
 import random
@@ -35,16 +36,16 @@
 from dandelionarch.daemon.settings import split_address
 from dandelionarch.daemon.state_copy import StateCopies
 from dandelionarch.daemon.watch import GateWatch
-from dandelionarch.errors import ConfigError
+from dandelionarch.errors import ConfigError, LinkError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
 from dandelionarch.metrics import PageMetrics
 
 log = logging.getLogger(__name__)
 
-# Idempotent requests that try an endpoint behind a closed gate. A failed trial costs
-# the request one more attempt, and a spell of failures is over only when one shows.
-GATE_TRIAL_SHARE = 0.15
+# Agents ask for trials of closed gates. This share of idempotent requests tries one
+# unasked, in case nobody has asked that agent for long enough to be known to it.
+GATE_TRIAL_SHARE = 0.02
 IDLE_PING_S = 2.0
 
 
@@ -109,6 +110,8 @@
             self.network, self.directory, self.vm_id, self.watch, self._platform.dialect
         )
         self.watch.on_change = self._on_health
+        self.watch.on_invite = self._invite
+        self.network.on_lost(self.watch.link_lost)
         self.network.on_opened(self.agent.introduce)
         self.ingress = Ingress(
             self.network,
@@ -192,6 +195,7 @@
             self.registry.run,
             self._keeper.run,
             self._copies.run,
+            self.watch.run,
         )
 
     def _stop_steps(self):
@@ -222,6 +226,10 @@
         self.metrics.incr(f"endpoint_health.{endpoint.health.value}")
         self.agent.announce_load(endpoint)
 
+    def _invite(self, endpoint_id, link):
+        with contextlib.suppress(LinkError):
+            link.send(msgs.TrialInvite(endpoint_id))
+
     async def drain(self):
         """Tell the peers, take no new work, and finish what is in flight.
 
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -1,11 +1,14 @@
 """What an agent tells about the runs at its endpoints, and whom it may admit."""
 
+import asyncio
 import dataclasses
 import logging
+import random
 from abc import ABC, abstractmethod
 
 from dandelionarch.core.gate import EndpointGate, RunResult
 from dandelionarch.core.outcome import Reason
+from dandelionarch.core.trials import TrialInviter
 from dandelionarch.core.world import Health
 from dandelionarch.logs import event
 
@@ -26,6 +29,7 @@
 # Work that fails at so many of a service's endpoints points to a shared cause, such
 # as a service that they all call; closing more gates would only take capacity away.
 SHARED_CAUSE_SHARE = 0.3
+INVITE_CHECK_S = 0.1
 
 
 class Watch(ABC):
@@ -43,6 +47,9 @@
     def admits(self, endpoint, idempotent):
         """Return True if a request may go to the endpoint."""
 
+    def asked(self, endpoint, link, idempotent):
+        """Take note of a request over a link, whether it is let in or not."""
+
     @abstractmethod
     def admitted(self, endpoint, run):
         """Take note of an attempt that was let in."""
@@ -81,15 +88,51 @@
     now : callable
         Returns the monotonic time in seconds.
 
-    `on_change(endpoint)` is called with an endpoint whose health has changed.
+    rng : random.Random, optional
+
+    `on_change(endpoint)` is called with an endpoint whose health has changed, and
+    `on_invite(endpoint_id, link)` to ask an ingress for a trial.
     """
 
-    def __init__(self, directory, now):
+    def __init__(self, directory, now, rng=None):
         super().__init__(directory)
         self._now = now
+        self._rng = rng or random.Random()
+        self._inviters = {}
         self._gates = {}
         self._statuses = {}
         self.on_change = lambda endpoint: None
+        self.on_invite = lambda endpoint_id, link: None
+
+    async def run(self):
+        """Invite trials of closed gates until cancelled."""
+        while True:
+            await asyncio.sleep(INVITE_CHECK_S)
+            self.invite()
+
+    def invite(self):
+        """Ask for the trials that are due."""
+        for endpoint_id, inviter in self._inviters.items():
+            _, gate = self._gates.get(endpoint_id, (None, None))
+            if gate is None:
+                continue
+            for link in inviter.due(gate, self._now()):
+                self.on_invite(endpoint_id, link)
+
+    def link_lost(self, link):
+        """Forget an ingress whose link has ended."""
+        for inviter in self._inviters.values():
+            inviter.lost(link)
+
+    def asked(self, endpoint, link, idempotent):
+        if idempotent:
+            self._inviter(endpoint).asked(link)
+
+    def _inviter(self, endpoint):
+        inviter = self._inviters.get(endpoint.endpoint_id)
+        if inviter is None:
+            inviter = self._inviters[endpoint.endpoint_id] = TrialInviter(self._rng)
+        return inviter
 
     def marked(self, endpoint):
         return dataclasses.replace(endpoint, health=self._gate(endpoint).health)
@@ -111,6 +154,7 @@
         if result is RunResult.APPLICATION_ERROR and self._is_shared(endpoint):
             result = RunResult.INCONCLUSIVE
         self._gate(endpoint).ended(run, result, self._now())
+        self._inviter(endpoint).trial_ended()
         self._show(endpoint, run, result)
 
     def _result(self, run, reason):
@@ -145,6 +189,7 @@
         known = self._directory.endpoints.get(endpoint.endpoint_id)
         if known is None or known.incarnation != endpoint.incarnation:
             self._gates.pop(endpoint.endpoint_id, None)
+            self._inviters.pop(endpoint.endpoint_id, None)
             return
         marked = self.marked(known)
         if marked.health is known.health:
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -91,6 +91,10 @@
   load @0 :LoadReport;
 }
 
+struct TrialInvite {
+  endpointId @0 :Text;
+}
+
 struct Envelope {
   union {
     requestHead @0 :RequestHead;
@@ -105,5 +109,6 @@
     ping @9 :Ping;
     pong @10 :Pong;
     loadNotice @11 :LoadNotice;
+    trialInvite @12 :TrialInvite;
   }
 }
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -5,7 +5,7 @@
 
 import yarl
 
-from dandelionarch.core.world import EndpointState
+from dandelionarch.core.world import EndpointState, Health
 from tests.support.path import until
 from tests.support.platform.fleet import (
     ROUTES,
@@ -215,6 +215,39 @@
         assert len(bad.seen) <= 1
         assert statuses.count(200) >= 11
 
+    @platform_test
+    async def test_agent_asks_for_the_trials_that_open_its_gate(self, fleet, session):
+        """Guards against a sound worker that few requests would ever try.
+
+        Without being asked, an ingress tries a closed gate with one request in 50.
+        """
+        failing = True
+
+        async def reset_at_first(seen, writer):
+            if failing:
+                reset_connection(writer)
+            else:
+                writer.write(answer(seen))
+
+        await fleet.daemon("vm-a")
+        await fleet.daemon("vm-b")
+        await fleet.configure()
+        worker = await fleet.worker("vm-b", reset_at_first, session=session)
+        await fleet.worker("vm-a", session=session)
+        await fleet.linked()
+        ingress = fleet.daemons["vm-a"]
+        for n in range(40):
+            await ask(session, fleet, "vm-a", request_id=f"r-{n}")
+            if worker.seen:
+                break
+        failing = False
+        closed = ingress.directory.endpoints["i-vm-b"]
+        assert closed.health is Health.TRIAL
+        for n in range(12):
+            await asyncio.sleep(0.15)
+            await ask(session, fleet, "vm-a", request_id=f"s-{n}")
+        assert ingress.directory.endpoints["i-vm-b"].health is Health.HEALTHY
+
     @platform_test
     async def test_refusal_by_worker_is_followed_by_another(self, fleet, session):
         """Guards against reporting work as failed that was proven not run."""
