Drop connections that rested, and invite trials from any peer

An endpoint may forget a connection that rested for 0.3 s, so that the next request on it is reset; that request may not be repeated if it is not idempotent, and its gate closes.

An endpoint whose gate closed with its first request knew no ingress to invite, and stayed closed for 15 s. Now other peers are invited in their place.

--- a/dandelionarch/core/trials.py
+++ b/dandelionarch/core/trials.py
@@ -41,13 +41,22 @@
         """Take note that the next trial may be asked for at once."""
         self._next = 0.0
 
-    def due(self, gate, now):
-        """Return the ingresses to invite now, most often none."""
-        if now < self._next or not self._askers or not gate.wants_trial(now):
+    def due(self, gate, now, peers):
+        """Return the ingresses to invite now, most often none.
+
+        `peers()` returns all ingresses; an endpoint whose gate closed with its first
+        requests knows none that has work for it.
+        """
+        if now < self._next or not gate.wants_trial(now):
             return []
         self._next = now + INVITE_PERIOD_S
-        askers = list(self._askers)
-        return self._rng.sample(askers, min(INVITED, len(askers)))
+        invited = _sample(self._rng, list(self._askers), INVITED)
+        others = [peer for peer in peers() if peer not in invited]
+        return invited + _sample(self._rng, others, INVITED - len(invited))
+
+
+def _sample(rng, items, count):
+    return rng.sample(items, min(count, len(items)))
 
 
 class TrialInvites:
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -115,6 +115,7 @@
         )
         self.watch.on_change = self._on_health
         self.watch.on_invite = self._invite
+        self.watch.peers = self.network.all_links
         self.network.on_lost(self.watch.link_lost)
         self.network.on_opened(self.agent.introduce)
         self.ingress = Ingress(
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -91,7 +91,7 @@
     rng : random.Random, optional
 
     `on_change(endpoint)` is called with an endpoint whose health has changed, and
-    `on_invite(endpoint_id, link)` to ask an ingress for a trial.
+    `on_invite(endpoint_id, link)` to ask one of the `peers()` for a trial.
     """
 
     def __init__(self, directory, now, rng=None):
@@ -103,6 +103,7 @@
         self._statuses = {}
         self.on_change = lambda endpoint: None
         self.on_invite = lambda endpoint_id, link: None
+        self.peers = list
 
     async def run(self):
         """Invite trials of closed gates until cancelled."""
@@ -112,11 +113,12 @@
 
     def invite(self):
         """Ask for the trials that are due."""
+        now = self._now()
         for endpoint_id, inviter in self._inviters.items():
             _, gate = self._gates.get(endpoint_id, (None, None))
             if gate is None:
                 continue
-            for link in inviter.due(gate, self._now()):
+            for link in inviter.due(gate, now, self.peers):
                 self.on_invite(endpoint_id, link)
 
     def link_lost(self, link):
--- a/dandelionarch/daemon/workers.py
+++ b/dandelionarch/daemon/workers.py
@@ -9,6 +9,7 @@
 import yarl
 from aiohttp.client_proto import ResponseHandler
 
+from dandelionarch.core.rest_limit import RestLimit
 from dandelionarch.daemon.headers import from_wire
 from dandelionarch.errors import (
     BrokenAnswerError,
@@ -49,15 +50,36 @@
         True once the connection has ended otherwise than by an orderly close.
     """
 
-    def __init__(self, id_field, loop):
+    def __init__(self, id_field, rest_limit, loop):
         super().__init__(loop)
         self.was_reset = False
         self._id_field = id_field
+        self._rest_limit = rest_limit
         self._expected_id = None
+        self._requests = 0
+        self._used_at = loop.time()
+        self._rested_s = None
+        self._peer_closed = False
+
+    def may_be_used(self):
+        """Return True unless the connection has rested for too long."""
+        now = self._loop.time()
+        return self._rest_limit.allows(now - self._used_at, now)
 
     def expect(self, fields):
         """Take note of the request whose response comes next."""
         self._expected_id = fields.get(self._id_field)
+        now = self._loop.time()
+        if self._requests:
+            self._rested_s = now - self._used_at
+        self._requests += 1
+        self._used_at = now
+
+    def data_received(self, data):
+        """Take bytes of a response."""
+        self._rested_s = None
+        self._used_at = self._loop.time()
+        super().data_received(data)
 
     def feed_data(self, data, size=0):
         """Take a response whose head has arrived."""
@@ -76,8 +98,17 @@
             return
         super().feed_data(data, size)
 
+    def eof_received(self):
+        """Take note that the endpoint has closed its side."""
+        self._peer_closed = True
+        super().eof_received()
+
     def connection_lost(self, exc):
         self.was_reset = exc is not None
+        # This side closes connections too, for one when a request's time is over.
+        if self._rested_s is not None and (self.was_reset or self._peer_closed):
+            self._rest_limit.broke(self._rested_s, self._loop.time())
+            self._rested_s = None
         super().connection_lost(exc)
 
 
@@ -91,7 +122,7 @@
 
 
 class WorkerConnector(aiohttp.TCPConnector):
-    """Connector that never reuses a connection with unread bytes.
+    """Connector that reuses no connection with unread bytes or after a long rest.
 
     Such bytes are a late answer to an earlier request; the library would take them
     as the answer to the next one.
@@ -99,13 +130,16 @@
 
     def __init__(self, id_field, **kwargs):
         super().__init__(**kwargs)
-        self._factory = functools.partial(EndpointProtocol, id_field, loop=self._loop)
+        self._factory = functools.partial(
+            EndpointProtocol, id_field, RestLimit(IDLE_CONNECTION_S), loop=self._loop
+        )
 
     async def connect(self, req, traces, timeout):
-        """Return a connection that nothing was received on out of turn."""
+        """Return a connection that is as good as a new one."""
         while True:
             conn = await super().connect(req, traces, timeout)
-            if not conn.protocol.should_close:
+            protocol = conn.protocol
+            if not protocol.should_close and protocol.may_be_used():
                 return conn
             conn.close()
 
--- a/tests/test_gate_load.py
+++ b/tests/test_gate_load.py
@@ -94,9 +94,14 @@
     def _invite(self):
         self.at(self.now + INVITE_CHECK_S, self._invite)
         for endpoint_id, endpoint in self.endpoints.items():
-            for ingress in endpoint.inviter.due(endpoint.gate, self.now):
+            due = endpoint.inviter.due(endpoint.gate, self.now, self._ingresses)
+            for ingress in due:
                 self.invites[ingress].invited(endpoint_id, self.now)
 
+    @staticmethod
+    def _ingresses():
+        return range(INGRESSES)
+
     def _arrive(self):
         self.at(self.now + self.rng.expovariate(self.rate_per_s), self._arrive)
         self.requests += 1
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -332,6 +332,33 @@
         assert len(worker.seen) == 1
 
 
+class TestResting:
+    """Connections that the endpoint forgets while they rest."""
+
+    @platform_test
+    async def test_forgotten_connections_are_not_used_again(self, fleet, session):
+        """Guards against a reset for every request that follows a pause."""
+        used_at, resets = {}, 0
+
+        async def forgetful(seen, writer):
+            nonlocal resets
+            now = time.monotonic()
+            if now - used_at.get(writer, now) > 0.2:
+                resets += 1
+                reset_connection(writer)
+            else:
+                used_at[writer] = now
+                writer.write(answer(seen))
+
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", forgetful, session=session)
+        for n in range(6):
+            await ask(session, fleet, "vm-a", request_id=f"r-{n}")
+            await asyncio.sleep(0.3)
+        assert resets == 1
+
+
 class TestRestart:
     """A daemon that starts beside a running endpoint knows it at once."""
 
