Use one link per pair of VMs in both directions

Change: where unused links are checked, the latest open link to a VM is used, whichever side dialled it. The side that dialled pings; the other one does after 1.5 times the period without a message, so that it finds a dialler that lost power. Fleets that do not check unused links go on using only what they dialled.

--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -1,4 +1,8 @@
-"""Links between daemons: the network task owns all connections to peers."""
+"""Links between daemons: the network task owns all connections to peers.
+
+Where unused links are checked, one link serves both ways; else each daemon sends its
+requests over links that it has dialled, as only a request shows that one is dead.
+"""
 
 import asyncio
 import contextlib
@@ -56,13 +60,13 @@
         self.faults = LinkFaults()
         self.address_of = address_of
         self._links = {}
+        self._from_peers = {}
         self._dialling = {}
         self._accepted = set()
         self._half_open = set()
         self._handlers = {}
         self._lost_handlers = []
         self._opened_handlers = []
-        self._dialled_handlers = []
         self._tasks = set()
         self._local = LocalLink(self)
         self._server = None
@@ -84,13 +88,9 @@
         self._lost_handlers.append(handler)
 
     def on_opened(self, handler):
-        """Call `handler(link)` when a peer has opened a link."""
+        """Call `handler(link)` when a link has opened, whichever side dialled."""
         self._opened_handlers.append(handler)
 
-    def on_dialled(self, handler):
-        """Call `handler(link)` when this daemon has opened a link to a peer."""
-        self._dialled_handlers.append(handler)
-
     async def start(self, host, port):
         """Listen on the peer port."""
         loop = asyncio.get_running_loop()
@@ -118,7 +118,16 @@
 
     def is_up(self, vm_id):
         """Return True if a link to the VM is established (or is this VM)."""
-        return vm_id == self.vm_id or vm_id in self._links
+        return vm_id == self.vm_id or self._open_link(vm_id) is not None
+
+    def _open_link(self, vm_id):
+        """Return the latest open link to a VM, or None."""
+        dialled = self._links.get(vm_id)
+        if self.idle_ping_s is None:
+            return dialled
+        accepted = self._from_peers.get(vm_id)
+        links = [link for link in (dialled, accepted) if link is not None]
+        return max(links, key=lambda link: link.opened_at, default=None)
 
     def unsent(self):
         """Return the bytes that wait in the sending buffers of all links."""
@@ -145,7 +154,7 @@
         """
         if vm_id == self.vm_id:
             return self._local
-        link = self._links.get(vm_id)
+        link = self._open_link(vm_id)
         if link is not None:
             return link
         fut = self._dialling.get(vm_id)
@@ -191,8 +200,6 @@
             link.close()
             return known
         self._links[link.vm_id] = link
-        for handler in self._dialled_handlers:
-            handler(link)
         return link
 
     async def send(self, vm_id, msg):
@@ -234,6 +241,8 @@
         """Forget a link that ended and tell the subscribers."""
         if self._links.get(link.vm_id) is link:
             del self._links[link.vm_id]
+        if self._from_peers.get(link.vm_id) is link:
+            del self._from_peers[link.vm_id]
         self._accepted.discard(link)
         self._half_open.discard(link)
         for handler in self._lost_handlers:
@@ -255,11 +264,13 @@
 
     def link_opened(self, link):
         """Take note of a link whose handshake has ended."""
+        link.opened_at = self.now()
         if not link.dialled:
             self._half_open.discard(link)
             self._accepted.add(link)
-            for handler in self._opened_handlers:
-                handler(link)
+            self._from_peers[link.vm_id] = link
+        for handler in self._opened_handlers:
+            handler(link)
 
     async def _watch(self):
         """Check all links for silence."""
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -1,9 +1,9 @@
 """Registry task: tells this daemon's entry and takes in those of the others.
 
-Daemons tell each other: an entry goes to every peer when it changes, and to each peer
-that this daemon dials. The store is where a daemon that starts finds the others. For
-any two daemons, the one that wrote its entry later finds the other in the read after
-its write, dials it, and is known there too.
+Daemons tell each other: an entry goes to every peer when it changes, and over each link
+that opens. The store is where a daemon that starts finds the others. For any two
+daemons, the one that wrote its entry later finds the other in the read after its write,
+dials it, and is known there too.
 """
 
 import asyncio
@@ -52,7 +52,7 @@
         self._written = asyncio.Event()
         self.follower = Follower(topic, self._on_records, READ_PAUSE_S, self._rng)
         network.subscribe(VmEntry, lambda link, entry: self.take(entry))
-        network.on_dialled(self._introduce)
+        network.on_opened(self._introduce)
 
     def announce(self):
         """Tell the entry anew, as this VM or its endpoints have changed."""
--- a/dandelionarch/daemon/tcplink.py
+++ b/dandelionarch/daemon/tcplink.py
@@ -43,6 +43,8 @@
 # Bodies wait at WRITE_PAUSE_BYTES; only a peer that does not read gets this far.
 WRITE_LIMIT_BYTES = 8 << 20
 PING_IDLE_S = 0.5
+# The side that dialled pings an unused link; the other one does if it hears nothing.
+ACCEPTED_PING_FACTOR = 1.5
 SILENT_S = 1.5
 
 
@@ -83,13 +85,14 @@
     """A connection to another daemon.
 
     `dialled` is True on the side that opened the connection; `ready` is a future
-    that ends with the handshake.
+    that ends with the handshake, at the time `opened_at` in seconds.
     """
 
     def __init__(self, network, dialled):
         self.vm_id = VmId("")
         self.dialled = dialled
         self.ready = asyncio.get_running_loop().create_future()
+        self.opened_at = 0.0
         self.last_received = 0.0
         self.muted = False
         self._network = network
@@ -206,9 +209,13 @@
             self.send(Ping(self._pings))
 
     def _probe(self, now, idle_s):
-        """Ping the peer of an unused link that this side has opened."""
+        """Ping the peer of an unused link."""
         period_s = self._network.idle_ping_s
-        if period_s is None or not self.dialled or idle_s < period_s:
+        if period_s is None:
+            return
+        if not self.dialled:
+            period_s *= ACCEPTED_PING_FACTOR
+        if idle_s < period_s:
             return
         self._probing = True
         self.last_received = now
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -332,6 +332,29 @@
         assert len(worker.seen) == 1
 
 
+class TestLinks:
+    """One link between two daemons serves the requests of both."""
+
+    @platform_test
+    async def test_requests_go_both_ways_over_one_link(self, fleet, session):
+        """Guards against two links for each pair, both of which have to be checked."""
+        for vm, service in (("vm-a", "orders"), ("vm-b", "stock")):
+            await fleet.daemon(vm, service=service)
+        routes = {
+            "read": route(),
+            "stock": route(service="stock", prefix="/stock/"),
+        }
+        await fleet.configure(routes=routes)
+        await fleet.worker("vm-a", session=session)
+        await fleet.worker("vm-b", service="stock", session=session)
+        await fleet.linked()
+        for vm, path in (("vm-a", "/stock/1"), ("vm-b", "/orders/1")):
+            status, _, _ = await ask(session, fleet, vm, path)
+            assert status == 200
+        links = [len(d.network.all_links()) for d in fleet.daemons.values()]
+        assert links == [1, 1]
+
+
 class TestResting:
     """Connections that the endpoint forgets while they rest."""
 
