Split the platform's daemon and the ingress by concern

No decision changes: code was moved, and the daemon's reports go through LocalEndpoints. Tests of the platform's path, of the forms and of hedging pass unchanged.

--- /dev/null
+++ b/dandelionarch/daemon/decision_log.py
@@ -0,0 +1,49 @@
+"""Decisions about single requests: one log line each, the latest kept for `explain`."""
+
+import logging
+
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+REQUESTS_KEPT = 10_000
+
+
+class DecisionLog:
+    """What was decided for the latest requests of one ingress."""
+
+    def __init__(self):
+        self._events = {}
+
+    def of(self, request_id):
+        """Return the (name, fields) of a request's events, oldest first."""
+        return self._events.get(request_id, [])
+
+    def remember(self, request_id, name, fields):
+        """Keep an event of a request."""
+        self._events.setdefault(request_id, []).append((name, fields))
+        while len(self._events) > REQUESTS_KEPT:
+            self._events.pop(next(iter(self._events)))
+
+    def chosen(self, work, command):
+        """Log the choice of an endpoint for a request.
+
+        Parameters
+        ----------
+        work : Work
+        command : Dispatch
+        """
+        decision = command.decision
+        drops = ";".join(
+            f"{d.endpoint_id}:{d.stage}:{d.reason}" for d in decision.drops
+        )
+        fields = {
+            "request": work.request_id,
+            "service": work.service,
+            "route": work.route,
+            "chosen": command.endpoint.endpoint_id,
+            "candidates": ",".join(decision.candidates),
+            "drops": drops or "-",
+        }
+        event(log, "routing", **fields)
+        self.remember(work.request_id, "routing", fields)
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -14,6 +14,7 @@
 from dandelionarch.core.selection import TwoChoices, select
 from dandelionarch.daemon.agent import CHUNK_BYTES
 from dandelionarch.daemon.attempt import Answer, AttemptStream, CallerFault, LinkLost
+from dandelionarch.daemon.decision_log import DecisionLog
 from dandelionarch.daemon.endpoint_views import EndpointViews, IngressRules
 from dandelionarch.daemon.retry_loans import RetryLoans
 from dandelionarch.daemon.watch import SERVER_ERROR
@@ -23,7 +24,6 @@
 log = logging.getLogger(__name__)
 
 HOLD_BYTES = 256 << 10
-DECISION_RING_SIZE = 10_000
 FETCH_TIMEOUT_S = 0.5
 
 
@@ -45,7 +45,7 @@
         self._loans = None
         if self._rules.retries_lent:
             self._loans = RetryLoans(network, self._budget, self._rng)
-        self.decisions = {}
+        self.decisions = DecisionLog()
         self.on_load = lambda load: None
         self.fetch_endpoints = None
         for cls in (msgs.ResponseHead, msgs.ResponseChunk, msgs.Refusal, msgs.Failure):
@@ -155,7 +155,7 @@
     async def _attempt(self, life, work, req, command):
         loop = asyncio.get_running_loop()
         endpoint = command.endpoint
-        self._log_decision(work, command)
+        self.decisions.chosen(work, command)
         stream = None
         may_wait, command, ended = command.may_wait, None, False
         began = loop.time()
@@ -237,7 +237,7 @@
         command = life.hedge(loop.time())
         if command is None:
             return None
-        self._log_decision(work, command)
+        self.decisions.chosen(work, command)
         endpoint = command.endpoint
         stream = None
         try:
@@ -371,28 +371,6 @@
         if lost:
             self._views.link_failed(link.vm_id)
 
-    def _log_decision(self, work, command):
-        decision = command.decision
-        drops = ";".join(
-            f"{d.endpoint_id}:{d.stage}:{d.reason}" for d in decision.drops
-        )
-        fields = {
-            "request": work.request_id,
-            "service": work.service,
-            "route": work.route,
-            "chosen": command.endpoint.endpoint_id,
-            "candidates": ",".join(decision.candidates),
-            "drops": drops or "-",
-        }
-        event(log, "routing", **fields)
-        self.remember(work.request_id, "routing", fields)
-
-    def remember(self, request_id, name, fields):
-        """Keep an event of a request for `explain`."""
-        self.decisions.setdefault(request_id, []).append((name, fields))
-        while len(self.decisions) > DECISION_RING_SIZE:
-            self.decisions.pop(next(iter(self.decisions)))
-
 
 def _inline(req):
     """Return True if a request's body goes with its head."""
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -375,7 +375,7 @@
         event(log, "outcome", **fields)
         self.metrics.incr(f"outcome.{outcome.value}")
         self.metrics.timing("latency", elapsed * 1000)
-        self._ingress.remember(work.request_id, "outcome", fields)
+        self._ingress.decisions.remember(work.request_id, "outcome", fields)
 
     def _unchecked_outcome(self, request, idempotent):
         """Return the outcome of a request refused before its key is looked up.
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -15,30 +15,30 @@
 
 from sanic.response import raw
 
-from dandelionarch.core.endpoint_reports import EndpointReports
 from dandelionarch.core.keyed_log import KeyedLog
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.retries import FleetBudget, FleetShareBudget
 from dandelionarch.core.routing_config import ActiveRouting, ConfigFormat
-from dandelionarch.core.world import EndpointState, Vm, VmState
+from dandelionarch.core.world import Vm, VmState
 from dandelionarch.daemon.agent import Agent
 from dandelionarch.daemon.caller_connections import IngressProtocol
 from dandelionarch.daemon.callers import CallerProtocol
+from dandelionarch.daemon.config_keeper import ConfigKeeper
 from dandelionarch.daemon.dialect import EndpointDialect
 from dandelionarch.daemon.endpoint_probe import EndpointProbe
 from dandelionarch.daemon.endpoint_views import IngressRules
-from dandelionarch.daemon.follower import Follower
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
 from dandelionarch.daemon.lifecycle import STOP_POLL_S, DaemonLifecycle
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.link_keeper import LinkKeeper
+from dandelionarch.daemon.local_endpoints import LocalEndpoints
 from dandelionarch.daemon.parts import new_app
 from dandelionarch.daemon.registry import RegistryService
 from dandelionarch.daemon.settings import split_address
 from dandelionarch.daemon.state_copy import StateCopies
 from dandelionarch.daemon.watch import GateWatch
-from dandelionarch.errors import ConfigError, LinkError
+from dandelionarch.errors import LinkError
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 from dandelionarch.logs import event
 from dandelionarch.metrics import PageMetrics
@@ -46,11 +46,9 @@
 log = logging.getLogger(__name__)
 
 # Agents ask for trials of closed gates. This share of idempotent requests tries one
-# unasked, in case nobody has asked that agent for long enough to be known to it.
+# unasked, in case what an agent asks for does not arrive.
 GATE_TRIAL_SHARE = 0.02
 IDLE_PING_S = 2.0
-# Where a service states no bound, the endpoint's slots are the only one.
-NO_BOUND = 1_000_000
 
 
 @dataclasses.dataclass(frozen=True)
@@ -95,7 +93,6 @@
         )
         self.settings = settings
         self.routing = ActiveRouting()
-        self.config_value = b""
         self._platform = platform
         self._rng = random.Random()
         self._stopping = False
@@ -161,19 +158,30 @@
             self.network,
             self._rng,
         )
-        self._reports = EndpointReports(self.vm_id, self._max_connections)
+        self.endpoints = LocalEndpoints(
+            self.directory,
+            self.vm_id,
+            self.routing,
+            self.watch,
+            self.agent,
+            self.registry,
+        )
         self._probe = EndpointProbe(
             self.settings.endpoint,
             self.routing,
             platform.dialect,
-            lambda: bool(self.directory.endpoints_of_vm(self.vm_id)),
-            self.reported,
+            self.endpoints.are_known,
+            self.endpoints.reported,
         )
-        self._config_follower = Follower(
-            platform.config_topic, self._on_config, rng=self._rng
+        self._config = ConfigKeeper(
+            platform.config_topic,
+            platform.config_format,
+            self.routing,
+            self._on_config,
+            self._rng,
         )
         self._keeper = LinkKeeper(self.network, self.directory)
-        followers = (self._config_follower, self.registry.follower)
+        followers = (self._config.follower, self.registry.follower)
         self._copies = StateCopies(self.network, followers, self, self._rng)
 
     @property
@@ -203,7 +211,7 @@
 
     def _task_functions(self):
         return (
-            self._config_follower.run,
+            self._config.follower.run,
             self.registry.follower.run,
             self.registry.run,
             self._keeper.run,
@@ -219,38 +227,6 @@
         """Take note of changed settings; what they hold is read at the next start."""
         event(log, "settings_changed", vm=self.vm_id, applied="at next start")
 
-    def _max_connections(self, service):
-        options = self.routing.options(service)
-        return NO_BOUND if options is None else options.max_connections
-
-    def reported(self, report):
-        """Take in an `EndpointReport` of the endpoint beside this daemon."""
-        for endpoint in self._reports.accept(report):
-            self.announced(endpoint)
-
-    def left(self, endpoint_id):
-        """Take note that an endpoint has said that it leaves."""
-        endpoint = self._reports.leave(endpoint_id, time.time_ns() // 1_000_000)
-        if endpoint is not None:
-            self.announced(endpoint)
-
-    def announced(self, endpoint):
-        """Take note of a change of an endpoint beside this daemon."""
-        marked = self.watch.marked(endpoint)
-        if not self.directory.put_endpoint(marked):
-            return
-        event(
-            log,
-            "endpoint_announced",
-            endpoint=endpoint.endpoint_id,
-            service=endpoint.service,
-            incarnation=endpoint.incarnation,
-            state=endpoint.state.value,
-        )
-        self.registry.announce()
-        if endpoint.state is EndpointState.READY:
-            self.agent.announce_load(marked)
-
     def _on_health(self, endpoint):
         self.metrics.incr(f"endpoint_health.{endpoint.health.value}")
         self.agent.announce_load(endpoint)
@@ -281,40 +257,21 @@
         leave.cancel()
         await asyncio.gather(leave, return_exceptions=True)
 
-    def _on_config(self, records):
-        for record in records:
-            if record.key != self._platform.config_format.key or not record.value:
-                continue
-            self._use_config(record.value, "store")
-
-    def _use_config(self, value, source):
-        """Put a record of the operator in force if it is a newer one."""
-        try:
-            config = self._platform.config_format.decode(value)
-        except ConfigError as exc:
-            event(log, "config_unreadable", logging.ERROR, source=source, detail=exc)
-            return
-        old = self.routing.revision
-        if not self.routing.use(config):
-            return
-        self.config_value = value
+    def _on_config(self, config):
         self._copies.config_changed()
         self.http.use_bounds(config.bounds)
         self.metrics.gauge("config_revision", config.revision)
-        event(
-            log,
-            "config_in_force",
-            revision=config.revision,
-            previous=old,
-            routes=len(config.routes),
-            source=source,
-        )
 
     @property
     def revision(self):
         """Return the revision of the configuration in force."""
         return self.routing.revision
 
+    @property
+    def config_value(self):
+        """Return the record of the configuration in force, empty without one."""
+        return self._config.value
+
     def entries(self):
         """Return the registry entries that are known here."""
         return self.registry.entries()
@@ -322,7 +279,7 @@
     def take_copy(self, answer, vm_id):
         """Take what a peer has of the store."""
         if answer.config:
-            self._use_config(answer.config, vm_id)
+            self._config.take(answer.config, vm_id)
         for entry in answer.entries:
             self.registry.take(entry)
 
--- a/dandelionarch/platform/control.py
+++ b/dandelionarch/platform/control.py
@@ -56,11 +56,11 @@
                 detail=exc,
             )
             return json({}, status=400)
-        self._daemon.reported(report)
+        self._daemon.endpoints.reported(report)
         return json({})
 
     async def _leave(self, request, endpoint_id):
-        self._daemon.left(EndpointId(endpoint_id))
+        self._daemon.endpoints.left(EndpointId(endpoint_id))
         return json({})
 
 
