Use one piece of code for settings, sockets, incarnations and budget windows

The titles and required sections of settings files are those of the settings model, which stood beside two tables and a list that repeated them. Sockets with a user timeout were opened by two copies of one function, and both daemons made their incarnation by the same line. Two stages of the selection differed only in the health and its age. The retry budget expired its counts in three loops, and lending repeated the check of taking.

Directory.living_vms no longer sorts: its callers make sets, a dict or a count of it, and the retry budget counts it for each further attempt. No decision changes.

--- a/dandelionarch/core/directory.py
+++ b/dandelionarch/core/directory.py
@@ -104,9 +104,6 @@
         return [self.endpoints[e] for e in self._by_service.get(service, ())]
 
     def living_vms(self):
-        """Return the VMs that are neither dead nor leaving, by id."""
+        """Return the VMs that are neither dead nor leaving."""
         states = (VmState.ALIVE, VmState.SUSPECT)
-        return sorted(
-            (vm for vm in self.vms.values() if vm.state in states),
-            key=lambda vm: vm.vm_id,
-        )
+        return [vm for vm in self.vms.values() if vm.state in states]
--- a/dandelionarch/core/retries.py
+++ b/dandelionarch/core/retries.py
@@ -93,8 +93,7 @@
         proven : bool
             True if the last attempt is proven not to have run.
         """
-        for count in (self._first, self._further, self._refused):
-            count.expire(now)
+        self._expire(now)
         if reason in LOAD_REASONS:
             self._refused.add(now)
         if proven and self._is_free(reason):
@@ -113,13 +112,16 @@
 
         A request whose redirect is reserved may be turned away by a busy endpoint.
         """
-        for count in (self._first, self._further):
-            count.expire(now)
+        self._expire(now)
         second = self._take(now, self._allowed(RESERVE_SHARE))
         if second is None:
             return None
         return lambda: self._further.remove(second)
 
+    def _expire(self, now):
+        for count in (self._first, self._further, self._refused):
+            count.expire(now)
+
     def _take(self, now, allowed):
         if self._further.total + 1 > allowed:
             return None
@@ -178,16 +180,13 @@
 
     def is_short(self, now):
         """Return True if no further attempt is left."""
-        for count in (self._first, self._further):
-            count.expire(now)
+        self._expire(now)
         return self._further.total + 1 > self._allowed(RETRY_SHARE)
 
     def lend(self, now):
         """Return True and count one further attempt that another ingress makes."""
-        if self.is_short(now):
-            return False
-        self._further.add(now)
-        return True
+        self._expire(now)
+        return self._take(now, self._allowed(RETRY_SHARE)) is not None
 
     def borrow(self, now):
         """Take note of an attempt that another ingress has lent."""
--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -156,18 +156,21 @@
 
 def not_ejected(candidates, drops):
     """Drop ejected endpoints while the hint is fresh; a refusal renews it."""
-    for cand in candidates:
-        if cand.health is Health.EJECTED and cand.health_age_s <= HINT_MAX_AGE_S:
-            drops.append(Drop(cand.endpoint.endpoint_id, "ejected", "hint"))
-        else:
-            yield cand
+    drop = ("ejected", "hint")
+    return _without(candidates, drops, Health.EJECTED, HINT_MAX_AGE_S, drop)
 
 
 def gate_open(candidates, drops):
     """Drop endpoints that have lately said that they take trials only."""
+    drop = ("gate", "trials only")
+    return _without(candidates, drops, Health.TRIAL, TRIAL_HINT_S, drop)
+
+
+def _without(candidates, drops, health, hint_max_age_s, drop):
+    """Drop endpoints of a health that was told lately; `drop` is (stage, reason)."""
     for cand in candidates:
-        if cand.health is Health.TRIAL and cand.health_age_s <= TRIAL_HINT_S:
-            drops.append(Drop(cand.endpoint.endpoint_id, "gate", "trials only"))
+        if cand.health is health and cand.health_age_s <= hint_max_age_s:
+            drops.append(Drop(cand.endpoint.endpoint_id, *drop))
         else:
             yield cand
 
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -5,7 +5,6 @@
 import dataclasses
 import logging
 import random
-import time
 
 from dandelionarch.core.announcements import CHECK_PERIOD_S, Announcements
 from dandelionarch.core.checkpoints import Retention
@@ -24,7 +23,7 @@
 from dandelionarch.daemon.health import HealthWatch
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
-from dandelionarch.daemon.lifecycle import DaemonLifecycle
+from dandelionarch.daemon.lifecycle import DaemonLifecycle, new_incarnation
 from dandelionarch.daemon.limits import Limits
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.logclient import LogClient
@@ -32,7 +31,7 @@
 from dandelionarch.daemon.orders import OrderGate
 from dandelionarch.daemon.streams import StreamService
 from dandelionarch.errors import LinkError
-from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
+from dandelionarch.ids import DataCentreId, RegionId, VmId
 from dandelionarch.logs import event
 from dandelionarch.metrics import statsd_metrics
 
@@ -77,8 +76,7 @@
                 cfg.peer_port,
                 cfg.gossip_port,
                 cfg.admin_port,
-                # The digits below a millisecond serve as the random part.
-                Incarnation(time.time_ns() // 1_000),
+                new_incarnation(),
             )
         )
         self.settings = settings
--- a/dandelionarch/daemon/lifecycle.py
+++ b/dandelionarch/daemon/lifecycle.py
@@ -3,12 +3,14 @@
 import asyncio
 import contextlib
 import logging
+import time
 from abc import ABC, abstractmethod
 
 from dandelionarch.core.directory import Directory
 from dandelionarch.daemon.listening import close_listener
 from dandelionarch.daemon.parts import run_steps, serve_app, supervise
 from dandelionarch.errors import StartError, StopError
+from dandelionarch.ids import Incarnation
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
@@ -16,6 +18,12 @@
 STOP_POLL_S = 0.02
 
 
+def new_incarnation():
+    """Return the incarnation of a process that starts now."""
+    # The digits below a millisecond serve as the random part.
+    return Incarnation(time.time_ns() // 1_000)
+
+
 class DaemonLifecycle(ABC):
     """Owns a daemon's servers and tasks; subclasses build its parts.
 
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -10,7 +10,6 @@
 import dataclasses
 import logging
 import random
-import time
 from collections.abc import Callable
 
 from sanic.response import raw
@@ -29,7 +28,11 @@
 from dandelionarch.daemon.endpoint_views import IngressRules
 from dandelionarch.daemon.ingress import Ingress
 from dandelionarch.daemon.ingress_http import IngressHttp
-from dandelionarch.daemon.lifecycle import STOP_POLL_S, DaemonLifecycle
+from dandelionarch.daemon.lifecycle import (
+    STOP_POLL_S,
+    DaemonLifecycle,
+    new_incarnation,
+)
 from dandelionarch.daemon.link import PeerNetwork
 from dandelionarch.daemon.link_keeper import LinkKeeper
 from dandelionarch.daemon.local_endpoints import LocalEndpoints
@@ -39,7 +42,7 @@
 from dandelionarch.daemon.state_copy import StateCopies
 from dandelionarch.daemon.watch import GateWatch
 from dandelionarch.errors import LinkError
-from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
+from dandelionarch.ids import DataCentreId, RegionId, VmId
 from dandelionarch.logs import event
 from dandelionarch.metrics import PageMetrics
 
@@ -88,7 +91,7 @@
                 settings.listen.peer_port,
                 0,
                 0,
-                Incarnation(time.time_ns() // 1_000),
+                new_incarnation(),
             )
         )
         self.settings = settings
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -186,17 +186,6 @@
     logs: LogsSection = LogsSection()
 
 
-SECTIONS = {
-    "daemon": DaemonSection,
-    "log": LogSection,
-    "limits": LimitsSection,
-    "orders": OrdersSection,
-    "statsd": StatsdSection,
-    "faults": FaultsSection,
-    "logs": LogsSection,
-}
-
-
 class RegistrySettings(pydantic.BaseModel):
     """All settings of a daemon that uses a registry."""
 
@@ -212,19 +201,6 @@
     logs: LogsSection = LogsSection()
 
 
-REGISTRY_SECTIONS = {
-    "daemon": VmSection,
-    "listen": ListenSection,
-    "endpoint": EndpointSection,
-    "store": StoreSection,
-    "retries": RetriesSection,
-    "stop": StopSection,
-    "limits": LimitsSection,
-    "logs": LogsSection,
-}
-REQUIRED = ("daemon", "listen", "store")
-
-
 def read_registry_settings(path):
     """Read and check the settings file of a daemon that uses a registry.
 
@@ -233,7 +209,7 @@
     SettingsError
         With file, section, option and accepted range.
     """
-    return RegistrySettings(**read_sections(path, REGISTRY_SECTIONS, REQUIRED))
+    return RegistrySettings(**read_sections(path, RegistrySettings))
 
 
 def split_address(address):
@@ -251,22 +227,19 @@
         With file, section, option and accepted range.
     """
     file = os.path.basename(path)
-    parts = read_sections(path, SECTIONS, ("daemon",))
-    settings = Settings(**parts)
+    settings = Settings(**read_sections(path, Settings))
     _check_window(file, settings)
     return settings
 
 
-def read_sections(path, models, required):
+def read_sections(path, settings):
     """Return the checked sections of an INI file by title.
 
     Parameters
     ----------
     path : str
-    models : dict of str to pydantic model
-        The known sections.
-    required : sequence of str
-        Titles that must be there.
+    settings : type of pydantic model
+        One field per known section; those without a default must be there.
 
     Raises
     ------
@@ -280,15 +253,16 @@
             parser.read_file(stream, source=file)
     except (OSError, UnicodeDecodeError, configparser.Error) as exc:
         raise SettingsError(file, "-", "-", str(exc).replace("\n", " ")) from exc
-    parts = {}
+    fields, parts = settings.model_fields, {}
     for title in parser.sections():
-        if title not in models:
-            known = ", ".join(models)
+        if title not in fields:
+            known = ", ".join(fields)
             raise SettingsError(file, title, "-", f"unknown section; known: {known}")
         options = dict(parser[title])
-        parts[title] = parse_section(file, title, models[title], options, SettingsError)
-    for title in required:
-        if title not in parts:
+        model = fields[title].annotation
+        parts[title] = parse_section(file, title, model, options, SettingsError)
+    for title, field in fields.items():
+        if field.is_required() and title not in parts:
             raise SettingsError(file, title, "-", "section is missing")
     return parts
 
--- a/dandelionarch/daemon/workers.py
+++ b/dandelionarch/daemon/workers.py
@@ -2,7 +2,6 @@
 
 import functools
 import logging
-import socket
 from dataclasses import dataclass
 
 import aiohttp
@@ -11,6 +10,7 @@
 
 from dandelionarch.core.rest_limit import RestLimit
 from dandelionarch.daemon.headers import from_wire
+from dandelionarch.daemon.sockets import open_socket
 from dandelionarch.errors import (
     BrokenAnswerError,
     WorkerLostError,
@@ -207,7 +207,9 @@
             self._dialect.request_id_field,
             limit=0,
             keepalive_timeout=IDLE_CONNECTION_S,
-            socket_factory=_open_socket,
+            socket_factory=functools.partial(
+                open_socket, user_timeout_ms=USER_TIMEOUT_MS
+            ),
         )
         self._session = aiohttp.ClientSession(
             connector=connector,
@@ -295,10 +297,3 @@
         raise WorkerUnreachableError(str(exc)) from exc
     except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError) as exc:
         raise WorkerLostError(str(exc)) from exc
-
-
-def _open_socket(addr_info):
-    family, kind, proto, _, _ = addr_info
-    sock = socket.socket(family, kind, proto)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    return sock
--- a/dandelionarch/platform/store.py
+++ b/dandelionarch/platform/store.py
@@ -10,6 +10,7 @@
 import aiohttp
 
 from dandelionarch.core.keyed_log import Batch, KeyedLog, KeyedRecord
+from dandelionarch.daemon.sockets import open_socket
 from dandelionarch.errors import (
     OffsetTruncatedError,
     PlatformRefusedError,
@@ -203,12 +204,10 @@
 
 
 def _open_socket(addr_info):
-    family, kind, proto, _, _ = addr_info
-    sock = socket.socket(family, kind, proto)
+    sock = open_socket(addr_info, USER_TIMEOUT_MS)
     tcp = socket.IPPROTO_TCP
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
     sock.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
     return sock
