--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -5,6 +5,7 @@
 import json
 
 import aiohttp
+import yarl
 from aiohttp import web
 
 from dandelionarch.daemon.registry_app import Platform, RegistryDaemon
@@ -196,3 +197,13 @@
     # Otherwise pytest takes the wrapped method's parameters for fixtures.
     del test.__wrapped__
     return test
+
+
+async def ask(session, fleet, vm, path="/orders/1", request_id="r-1", **kwargs):
+    """Send a request and return (status, headers, body)."""
+    method = kwargs.pop("method", "GET")
+    deadline_ms = kwargs.pop("deadline_ms", 2000)
+    fields = headers(request_id, deadline_ms) | kwargs.pop("fields", {})
+    url = yarl.URL(fleet.url(vm, path), encoded=True)
+    async with session.request(method, url, headers=fields, **kwargs) as resp:
+        return resp.status, resp.headers, await resp.read()
