Treat downloads as idempotent

Cause: the platform names a further type of route, download, that may be repeated like safe ones; the adapter took all but safe for not idempotent, so a download that met a failing endpoint was answered 502 without a second attempt. Test: tests/test_platform_forms.py, which failed before.

--- a/dandelionarch/platform/config.py
+++ b/dandelionarch/platform/config.py
@@ -12,7 +12,7 @@
 from dandelionarch.platform.json_forms import FormError, field, number, parse
 
 # Route types whose requests may run more than once.
-IDEMPOTENT_TYPES = frozenset({"safe"})
+IDEMPOTENT_TYPES = frozenset({"safe", "download"})
 
 
 class OperatorConfig(ConfigFormat):
--- a/tests/test_platform_forms.py
+++ b/tests/test_platform_forms.py
@@ -82,6 +82,15 @@
 class TestConfig:
     """The operator's configuration becomes routes, or one error."""
 
+    @pytest.mark.parametrize(
+        ("kind", "idempotent"),
+        [("safe", True), ("download", True), ("unsafe", False), ("other", False)],
+    )
+    def test_which_routes_may_be_repeated(self, kind, idempotent):
+        """Guards against an order that is repeated, and a download that is not."""
+        decoded = OperatorConfig().decode(config(7, {"r": route(kind=kind)}))
+        assert decoded.routes[0].idempotent is idempotent
+
     def test_split_route(self):
         """Guards against a lost weight, host or kind."""
         shares = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
