Count both of two attempts at once, and let an error wait for the other

Cause: of an attempt and the second one beside it, the loser was cancelled and not counted as an endpoint that was reached. An error answer also ended the race while the other attempt might still be answered well. Ruled out: attempts that were refused; those are proven not to have run. Tests: two in tests/test_hedging.py, which failed before.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -174,8 +174,8 @@
         self._give_back = None
         return give_back
 
-    def one_failed(self):
-        """Note that one of two attempts failed after it may have run."""
+    def one_reached(self):
+        """Note that one of two attempts ends without a say, after it may have run."""
         self._may_have_run = True
         self._reached += 1
 
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -263,11 +263,16 @@
                 done, _ = await asyncio.wait(gets, return_when=asyncio.FIRST_COMPLETED)
                 get = done.pop()
                 kept, msg = gets.pop(get), get.result()
-                if isinstance(msg, msgs.ResponseHead) or not gets:
+                if not gets:
+                    return kept, msg
+                if isinstance(msg, msgs.ResponseHead) and msg.status < SERVER_ERROR:
+                    life.one_reached()
                     return kept, msg
                 if not isinstance(msg, msgs.Refusal):
-                    life.one_failed()
-                self.close(kept, cancel=False)
+                    life.one_reached()
+                # An error answer gives way to an attempt that still runs.
+                streams = isinstance(msg, msgs.ResponseHead) and not msg.last
+                self.close(kept, cancel=streams)
         finally:
             for get in gets:
                 get.cancel()
--- a/dandelionarch/measure/model.py
+++ b/dandelionarch/measure/model.py
@@ -182,7 +182,7 @@
                 )
             return False
         if live and not refused:
-            life.one_failed()
+            life.one_reached()
         return bool(live)
 
     def _send(self, attempt):
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -1,6 +1,7 @@
 """Second attempts beside stragglers."""
 
 import asyncio
+import dataclasses
 import random
 
 from dandelionarch.core.directory import Directory
@@ -41,13 +42,13 @@
 
 
 class FakeNetwork:
-    """Links to two agents; `reply(link, head)` decides what they answer."""
+    """Links to agents; `reply(link, head)` decides what they answer."""
 
     vm_id = "vm-0"
 
-    def __init__(self):
+    def __init__(self, size=2):
         self.handlers, self.open, self.heads = {}, 0, []
-        self.links = {f"vm-{i}": FakeLink(self, f"vm-{i}") for i in range(2)}
+        self.links = {f"vm-{i}": FakeLink(self, f"vm-{i}") for i in range(size)}
         self.on_lost = lambda handler: None
         self.subscribe = self.handlers.__setitem__
         self.is_up = lambda vm_id: True
@@ -157,20 +158,56 @@
         assert refuse.outcome is Outcome.UNKNOWN
         assert network.open == 0
 
+    def test_cancelled_attempt_counts_as_one(self):
+        """Guards against a third endpoint where a route allows two.
+
+        The straggler has reached its endpoint, though its own end is never heard of.
+        """
+
+        def reply(link, head):
+            network.heads.append(link)
+            return None if len(network.heads) == 1 else self._answer(head, 500)
+
+        network = FakeNetwork(3)
+        network.reply = reply
+        result = asyncio.run(self._run(network, max_attempts=2, budget_s=0.5))
+        assert len(network.heads) == 2
+        assert getattr(result, "status", None) in (None, 500)
+        assert network.open == 0
+
+    def test_error_gives_way_to_an_attempt_that_runs(self):
+        """Guards against an answer that is cancelled for an error beside it."""
+
+        def reply(link, head):
+            network.heads.append(link)
+            loop = asyncio.get_running_loop()
+            answered = network.handlers[msgs.ResponseHead]
+            if len(network.heads) == 1:
+                loop.call_later(0.1, answered, link, self._answer(head))
+                return None
+            return self._answer(head, 500)
+
+        network = FakeNetwork()
+        network.reply = reply
+        answer = asyncio.run(self._run(network))
+        assert (answer.status, answer.body) == (200, b"done")
+        assert network.open == 0
+
     @staticmethod
-    def _answer(head):
+    def _answer(head, status=200):
         load = msgs.LoadReport(head.endpoint_id, 1, 0, 1, "healthy", 1.0)
-        return msgs.ResponseHead(head.attempt_id, 200, (), b"done", True, load)
+        return msgs.ResponseHead(head.attempt_id, status, (), b"done", True, load)
 
     @staticmethod
-    async def _run(network):
+    async def _run(network, max_attempts=3, budget_s=5.0):
         directory = Directory()
-        for i in range(2):
+        for i in range(len(network.links)):
             directory.put_vm(Vm(f"vm-{i}", "dc", "r", "", 0, 0, 0, 0, 1))
             directory.put_endpoint(Endpoint(f"w-{i}", f"vm-{i}", "s", "", 9, 1, 9, 1))
         agent = type("A", (), {"on_credit": staticmethod(lambda link, msg: None)})()
         ingress = Ingress(network, directory, agent, random.Random(1))
         for _ in range(MIN_SAMPLES):
             ingress._hedging.observe("s", "route", 0.001)
-        deadline = asyncio.get_running_loop().time() + 5.0
-        return await ingress.run(work(), CallerRequest(), deadline)
+        deadline = asyncio.get_running_loop().time() + budget_s
+        request = dataclasses.replace(work(), max_attempts=max_attempts)
+        return await ingress.run(request, CallerRequest(), deadline)
