Close the gate of an endpoint that hangs by the ages of its runs

The gate closed after two timeouts in a row, of 5 s each, and a second attempt waited for 20 samples of its own ingress, which sees a request of a route every other second. Change: the agent weighs each run's age against the recent times of its route and against answers to newer work (a likelihood ratio). A suspect endpoint's gate closes, a hung trial makes room for the next one, a straggler that answers opens the gate, the ingress is told and sends idempotent work elsewhere. While there is doubt, work that is not idempotent is turned away once, which costs a hop.

--- a/dandelionarch/core/costs.py
+++ b/dandelionarch/core/costs.py
@@ -9,6 +9,8 @@
 MEDIAN_WINDOW = 127
 RESIDUAL_WINDOW = 255
 MIN_TAIL_SAMPLES = 20
+# With fewer samples the oldest run would soon be older than all.
+MIN_SURVIVAL_SAMPLES = 4
 # One straggler may not make its kind of work look many times dearer.
 MAX_DEVIATION = math.log(8)
 LONG_FACTOR = 4.0
@@ -56,6 +58,17 @@
             return elapsed_s
         return sum(longer) / len(longer) - elapsed_s
 
+    def survival(self, elapsed_s):
+        """Return which share of runs takes longer, or None of too few samples.
+
+        It is never 0: a sample of 20 does not show what happens once in 100 runs.
+        """
+        times = self._recent.sorted
+        if len(times) < MIN_SURVIVAL_SAMPLES:
+            return None
+        longer = len(times) - bisect_left(times, elapsed_s)
+        return (longer + 0.5) / (len(times) + 1)
+
     @property
     def high_s(self):
         """Return the service time that 19 of 20 recent runs did not exceed.
@@ -129,6 +142,11 @@
             return max(self._default_s - elapsed_s, elapsed_s)
         return estimate.residual_s(elapsed_s)
 
+    def survival(self, key, elapsed_s):
+        """Return which share of a kind of work's runs takes longer, or None."""
+        estimate = self._estimates.get(key)
+        return None if estimate is None else estimate.survival(elapsed_s)
+
     def is_long(self, key):
         """Return True if the cost is above 4 times the median of the service."""
         median = self.median()
--- a/dandelionarch/core/gate.py
+++ b/dandelionarch/core/gate.py
@@ -22,12 +22,13 @@
 
 
 class RunResult(Enum):
-    """What the end of a run says of its endpoint."""
+    """What a run says of its endpoint, most often by its end."""
 
     SERVED = "served"
     APPLICATION_ERROR = "application_error"
     BROKEN = "broken"
     INCONCLUSIVE = "inconclusive"
+    HUNG = "hung"
 
 
 class EndpointGate:
@@ -44,6 +45,7 @@
         self._next_trial = 0.0
         self._interval_s = TRIAL_INTERVAL_S
         self._idempotent_seen = 0.0
+        self._hung = frozenset()
 
     @property
     def health(self):
@@ -73,8 +75,23 @@
             self._trial_running = run
             self._next_trial = now + self._interval_s
 
+    def stalled(self, runs, now):
+        """Take note that the endpoint has stopped answering, by its runs that hang.
+
+        A trial among them has failed, so that the next one need not wait for its end.
+        """
+        trial = self._trial_running is not None and self._trial_running in runs
+        if trial:
+            self._trial_running = None
+        if trial or self._closed_at is None:
+            self._hung = frozenset(runs)
+            self._close(now, trial)
+
     def ended(self, run, result, now):
         """Take note of the end of a run."""
+        if run in self._hung and result is RunResult.SERVED:
+            # It was a straggler: what closed the gate has proved wrong.
+            self._open()
         trial = run is self._trial_running
         if trial:
             self._trial_running = None
@@ -97,8 +114,12 @@
         self._successes += 1
         self._next_trial = 0.0
         if self._successes >= SUCCESSES_TO_OPEN:
-            self._closed_at = None
-            self._interval_s = TRIAL_INTERVAL_S
+            self._open()
+
+    def _open(self):
+        self._closed_at = None
+        self._interval_s = TRIAL_INTERVAL_S
+        self._hung = frozenset()
 
     def _close(self, now, trial):
         self._successes = 0
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -147,6 +147,13 @@
     nonce: int
 
 
+@dataclass(frozen=True, slots=True)
+class Straggling:
+    """An agent tells that an attempt has most likely hung; it goes on waiting."""
+
+    attempt_id: int
+
+
 MESSAGES = (
     RequestHead,
     RequestChunk,
@@ -161,4 +168,5 @@
     Pong,
     LoadNotice,
     TrialInvite,
+    Straggling,
 )
--- /dev/null
+++ b/dandelionarch/core/stalls.py
@@ -0,0 +1,107 @@
+"""Tells from the ages of an endpoint's runs whether it has stopped answering.
+
+An endpoint that hangs breaks no connection, so a gate that waits for failures learns
+of it at the first deadlines, after seconds of lost work. The agent sees every run: one
+that is older than its kind of work usually takes speaks for a hang, and each answer to
+work that began later speaks against it.
+"""
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+# Of the requests in a failing spell, about this share is never answered.
+LOST_SHARE = 0.85
+# Younger runs than the median say nothing.
+OLD_SHARE = 0.5
+# A run that so few of its kind outlive is taken for hung once the endpoint is suspect.
+HUNG_SHARE = 0.1
+# Natural logarithms of likelihood ratios, hang against sound. The runs are weighed ten
+# times a second, so that chance alone reaches a lower bound too often.
+SUSPECT = 4.5
+DOUBTFUL = 0.7
+ANSWER_WEIGHT = -math.log(1 - LOST_SHARE)
+# Answers to runs that began after an old one; more would change nothing.
+ANSWERS_KEPT = 16
+
+
+@dataclass(slots=True, eq=False)
+class _Running:
+    """A run in progress: its kind of work and its start in seconds."""
+
+    key: object
+    started: float
+    told: bool = False
+
+
+class StallDetector:
+    """Weighs the runs of one endpoint.
+
+    Parameters
+    ----------
+    survival : callable
+        `survival(key, age_s)` returns which share of the runs of a kind of work takes
+        longer than `age_s` seconds, or None while too little is known.
+    """
+
+    def __init__(self, survival):
+        self._survival = survival
+        self._running = {}
+        self._answered = deque(maxlen=ANSWERS_KEPT)
+
+    def started(self, run, key, now):
+        """Take note of a run that begins; `key` names its kind of work."""
+        self._running[run] = _Running(key, now)
+
+    def ended(self, run, answered):
+        """Take note of the end of a run."""
+        known = self._running.pop(run, None)
+        if known is not None and answered:
+            self._answered.append(known.started)
+
+    def evidence(self, now):
+        """Return the logarithm of the likelihood ratio, 0 without old runs.
+
+        A hang may begin while a straggler runs. So the newest old runs are weighed
+        first, against the answers to work that began after them.
+        """
+        best = total = 0.0
+        for run in sorted(self._old(now), key=lambda r: r.started, reverse=True):
+            total += self._weight(run, now)
+            later = sum(started > run.started for started in self._answered)
+            best = max(best, total - ANSWER_WEIGHT * later)
+        return best
+
+    def is_suspect(self, now):
+        """Return True if the endpoint has most likely stopped answering."""
+        return self.evidence(now) >= SUSPECT
+
+    def is_doubtful(self, now):
+        """Return True if work that can't be repeated is better off elsewhere."""
+        return self.evidence(now) >= DOUBTFUL
+
+    def hung_runs(self, now):
+        """Return the runs that are taken for hung if the endpoint is suspect."""
+        return [
+            run
+            for run, known in self._running.items()
+            if self._share(known, now) <= HUNG_SHARE
+        ]
+
+    def untold(self, runs):
+        """Return those of the runs that were not asked about before."""
+        fresh = [run for run in runs if not self._running[run].told]
+        for run in fresh:
+            self._running[run].told = True
+        return fresh
+
+    def _old(self, now):
+        return [r for r in self._running.values() if self._share(r, now) <= OLD_SHARE]
+
+    def _share(self, known, now):
+        share = self._survival(known.key, now - known.started)
+        return 1.0 if share is None else share
+
+    def _weight(self, known, now):
+        share = self._share(known, now)
+        return math.log((LOST_SHARE + (1 - LOST_SHARE) * share) / share)
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -148,6 +148,23 @@
             with contextlib.suppress(LinkError):
                 link.send(msgs.LoadNotice(local.load()))
 
+    def survival(self, endpoint_id, route, age_s):
+        """Return which share of a route's runs at an endpoint takes longer, or None."""
+        local = self._local.get(endpoint_id)
+        return None if local is None else local.queue.costs.survival(route, age_s)
+
+    def tell_straggler(self, run):
+        """Tell the ingress of a run that has most likely hung."""
+        event(
+            log,
+            "run_hung",
+            logging.WARNING,
+            request=run.head.request_id,
+            endpoint=run.head.endpoint_id,
+        )
+        if run.head.idempotent:
+            run.send(msgs.Straggling(run.head.attempt_id))
+
     async def stop(self):
         """Cancel what still runs and close the connection pool."""
         tasks = [run.task for run in self._runs.values()]
@@ -209,6 +226,9 @@
             return Reason.DRAINING
         if not self._watch.admits(local.endpoint, head.idempotent):
             return Reason.EJECTED
+        may_move = not head.may_wait and not head.idempotent
+        if may_move and self._watch.doubts(local.endpoint):
+            return Reason.BUSY
         return None
 
     def _refuse(self, run, local, reason):
--- a/dandelionarch/daemon/attempt.py
+++ b/dandelionarch/daemon/attempt.py
@@ -94,6 +94,12 @@
         self.window_open = asyncio.Event()
         self.sender = None
 
+    async def next_reply(self):
+        """Return the next message that may end the attempt."""
+        while isinstance(msg := await self.mailbox.get(), msgs.Straggling):
+            pass
+        return msg
+
     async def send_body(self, req):
         """Send the request's body in chunks within the window."""
         try:
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -25,6 +25,13 @@
 
 HOLD_BYTES = 256 << 10
 FETCH_TIMEOUT_S = 0.5
+REPLIES = (
+    msgs.ResponseHead,
+    msgs.ResponseChunk,
+    msgs.Refusal,
+    msgs.Failure,
+    msgs.Straggling,
+)
 
 
 class Ingress:
@@ -48,7 +55,7 @@
         self.decisions = DecisionLog()
         self.on_load = lambda load: None
         self.fetch_endpoints = None
-        for cls in (msgs.ResponseHead, msgs.ResponseChunk, msgs.Refusal, msgs.Failure):
+        for cls in REPLIES:
             network.subscribe(cls, self._on_reply)
         network.subscribe(
             msgs.Credit,
@@ -217,18 +224,18 @@
     async def _first_reply(self, life, work, req, stream):
         """Return the attempt that is answered first and its first message.
 
-        An idempotent request that straggles gets a second attempt; the other one is
-        cancelled.
+        An idempotent request that straggles, by its age here or by word of the agent,
+        gets a second attempt; the other one is cancelled.
         """
-        delay_s = self._hedging.delay_s(work.service, work.route)
-        if delay_s is None:
-            return stream, await stream.mailbox.get()
+        msg = None
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(delay_s):
-                return stream, await stream.mailbox.get()
+            async with asyncio.timeout(self._hedging.delay_s(work.service, work.route)):
+                msg = await stream.mailbox.get()
+        if msg is not None and not isinstance(msg, msgs.Straggling):
+            return stream, msg
         second = await self._second_attempt(life, work, req)
         if second is None:
-            return stream, await stream.mailbox.get()
+            return stream, await stream.next_reply()
         return await self._race(life, stream, second)
 
     async def _second_attempt(self, life, work, req):
@@ -254,7 +261,7 @@
     async def _race(self, life, first, second):
         """Return the attempt that is answered, or fails last, and its message."""
         gets = {
-            asyncio.ensure_future(stream.mailbox.get()): stream
+            asyncio.ensure_future(stream.next_reply()): stream
             for stream in (first, second)
         }
         kept = first
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -115,6 +115,8 @@
         )
         self.watch.on_change = self._on_health
         self.watch.on_invite = self._invite
+        self.watch.on_straggler = self.agent.tell_straggler
+        self.watch.survival = self.agent.survival
         self.watch.peers = self.network.all_links
         self.network.on_lost(self.watch.link_lost)
         self.network.on_opened(self.agent.introduce)
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import dataclasses
+import functools
 import logging
 import random
 from abc import ABC, abstractmethod
 
 from dandelionarch.core.gate import EndpointGate, RunResult
 from dandelionarch.core.outcome import Reason
+from dandelionarch.core.stalls import StallDetector
 from dandelionarch.core.trials import TrialInviter
 from dandelionarch.core.world import EndpointState, Health, same_start
 from dandelionarch.logs import event
@@ -29,7 +31,7 @@
 # Work that fails at so many of a service's endpoints points to a shared cause, such
 # as a service that they all call; closing more gates would only take capacity away.
 SHARED_CAUSE_SHARE = 0.3
-INVITE_CHECK_S = 0.1
+CHECK_PERIOD_S = 0.1
 
 
 class Watch(ABC):
@@ -50,6 +52,10 @@
     def asked(self, endpoint, link, idempotent):
         """Take note of a request over a link, whether it is let in or not."""
 
+    def doubts(self, endpoint):
+        """Return True if work that can't be repeated is better off elsewhere."""
+        return False
+
     @abstractmethod
     def admitted(self, endpoint, run):
         """Take note of an attempt that was let in."""
@@ -91,6 +97,8 @@
 
     `on_change(endpoint)` is called with an endpoint whose health has changed, and
     `on_invite(endpoint_id, link)` to ask one of the `peers()` for a trial.
+    `on_straggler(run)` is called with a run that has most likely hung, judged by
+    `survival(endpoint_id, route, age_s)`, the share of runs that take longer.
     """
 
     def __init__(self, directory, now, rng=None):
@@ -102,14 +110,42 @@
         self._statuses = {}
         self.on_change = lambda endpoint: None
         self.on_invite = lambda endpoint_id, link: None
+        self.on_straggler = lambda run: None
+        self.survival = lambda endpoint_id, route, age_s: None
         self.peers = list
+        self._stalls = {}
 
     async def run(self):
-        """Invite trials of closed gates until cancelled."""
+        """Look for hangs and invite trials of closed gates until cancelled."""
         while True:
-            await asyncio.sleep(INVITE_CHECK_S)
+            await asyncio.sleep(CHECK_PERIOD_S)
+            self.check_stalls()
             self.invite()
 
+    def check_stalls(self):
+        """Close the gates of endpoints that have stopped answering."""
+        now = self._now()
+        for endpoint_id, stalls in list(self._stalls.items()):
+            endpoint = self._directory.endpoints.get(endpoint_id)
+            if endpoint is None:
+                self._forget(endpoint_id)
+            elif stalls.is_suspect(now):
+                self._stalled(endpoint, stalls, now)
+
+    def _stalled(self, endpoint, stalls, now):
+        hung = stalls.hung_runs(now)
+        if not hung:
+            return
+        if not self._is_shared(endpoint):
+            self._gate(endpoint).stalled(hung, now)
+            self._show(endpoint, hung[0], RunResult.HUNG)
+        for run in stalls.untold(hung):
+            self.on_straggler(run)
+
+    def doubts(self, endpoint):
+        stalls = self._stalls.get(endpoint.endpoint_id)
+        return stalls is not None and stalls.is_doubtful(self._now())
+
     def invite(self):
         """Ask for the trials that are due."""
         now = self._now()
@@ -148,12 +184,22 @@
         self._gate(endpoint).began(run, self._now())
 
     def started(self, endpoint, run, kind):
-        pass
+        stalls = self._stalls.get(endpoint.endpoint_id)
+        if stalls is None:
+            survival = functools.partial(self.survival, endpoint.endpoint_id)
+            stalls = self._stalls[endpoint.endpoint_id] = StallDetector(survival)
+        stalls.started(run, run.head.route, self._now())
 
     def answered(self, endpoint, run, status):
         self._statuses[run] = status
+        stalls = self._stalls.get(endpoint.endpoint_id)
+        if stalls is not None:
+            stalls.ended(run, status < SERVER_ERROR)
 
     def ended(self, endpoint, run, reason, kind):
+        stalls = self._stalls.get(endpoint.endpoint_id)
+        if stalls is not None:
+            stalls.ended(run, answered=False)
         result = self._result(run, reason)
         if result is RunResult.APPLICATION_ERROR and self._is_shared(endpoint):
             result = RunResult.INCONCLUSIVE
@@ -193,6 +239,7 @@
     def _forget(self, endpoint_id):
         self._gates.pop(endpoint_id, None)
         self._inviters.pop(endpoint_id, None)
+        self._stalls.pop(endpoint_id, None)
 
     def _show(self, endpoint, run, result):
         """Log and pass on a change of health; forget endpoints that are gone."""
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -95,6 +95,10 @@
   endpointId @0 :Text;
 }
 
+struct Straggling {
+  attemptId @0 :UInt64;
+}
+
 struct Envelope {
   union {
     requestHead @0 :RequestHead;
@@ -110,5 +114,6 @@
     pong @10 :Pong;
     loadNotice @11 :LoadNotice;
     trialInvite @12 :TrialInvite;
+    straggling @13 :Straggling;
   }
 }
--- a/tests/test_gate_load.py
+++ b/tests/test_gate_load.py
@@ -17,7 +17,7 @@
 from dandelionarch.core.trials import TrialInviter, TrialInvites
 from dandelionarch.core.world import Endpoint, Health, Vm
 from dandelionarch.daemon.registry_app import GATE_TRIAL_SHARE
-from dandelionarch.daemon.watch import INVITE_CHECK_S
+from dandelionarch.daemon.watch import CHECK_PERIOD_S
 
 INGRESSES = 99
 # Calls that endpoints make come from the VMs of the services that make them.
@@ -92,7 +92,7 @@
             action(*args)
 
     def _invite(self):
-        self.at(self.now + INVITE_CHECK_S, self._invite)
+        self.at(self.now + CHECK_PERIOD_S, self._invite)
         for endpoint_id, endpoint in self.endpoints.items():
             due = endpoint.inviter.due(endpoint.gate, self.now, self._ingresses)
             for ingress in due:
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -193,20 +193,38 @@
         assert (answer.status, answer.body) == (200, b"done")
         assert network.open == 0
 
+    def test_agent_that_tells_of_a_hang_brings_a_second_attempt(self):
+        """Guards against waiting for a delay that this ingress has not learnt yet."""
+
+        def reply(link, head):
+            network.heads.append(link)
+            if len(network.heads) == 1:
+                return msgs.Straggling(head.attempt_id)
+            return self._answer(head)
+
+        network = FakeNetwork()
+        network.reply = reply
+        answer = asyncio.run(self._run(network, learnt=0))
+        assert answer.body == b"done"
+        first, second = network.heads
+        assert first is not second
+        assert isinstance(first.sent[-1], msgs.Cancel)
+        assert network.open == 0
+
     @staticmethod
     def _answer(head, status=200):
         load = msgs.LoadReport(head.endpoint_id, 1, 0, 1, "healthy", 1.0)
         return msgs.ResponseHead(head.attempt_id, status, (), b"done", True, load)
 
     @staticmethod
-    async def _run(network, max_attempts=3, budget_s=5.0):
+    async def _run(network, max_attempts=3, budget_s=5.0, learnt=MIN_SAMPLES):
         directory = Directory()
         for i in range(len(network.links)):
             directory.put_vm(Vm(f"vm-{i}", "dc", "r", "", 0, 0, 0, 0, 1))
             directory.put_endpoint(Endpoint(f"w-{i}", f"vm-{i}", "s", "", 9, 1, 9, 1))
         agent = type("A", (), {"on_credit": staticmethod(lambda link, msg: None)})()
         ingress = Ingress(network, directory, agent, random.Random(1))
-        for _ in range(MIN_SAMPLES):
+        for _ in range(learnt):
             ingress._hedging.observe("s", "route", 0.001)
         deadline = asyncio.get_running_loop().time() + budget_s
         request = dataclasses.replace(work(), max_attempts=max_attempts)
