Load only what the platform's daemon uses, and check settings by msgspec

Cause: a daemon's start takes 1.3 s on the smallest VM, most of it imports, and each of 233 VMs pays it at every start. pydantic took about 110 ms of 650 ms, the message classes and schemas of channels that this daemon never uses about 60 ms. Change: settings are msgspec structs with the same checks and errors; the codec loads the channels that it is given; modules are split where one class pulled in a whole part that is not used.

--- a/dandelionarch/core/details.py
+++ b/dandelionarch/core/details.py
@@ -3,14 +3,14 @@
 import dataclasses
 
 from dandelionarch.core import members as table_of
+from dandelionarch.core.endpoint_records import endpoint_of
 from dandelionarch.core.messages.members import (
     EndpointDetail,
     EndpointQuery,
-    EndpointRecord,
     EndpointStateRecord,
     ServiceSlots,
 )
-from dandelionarch.core.world import Endpoint, EndpointState, Health
+from dandelionarch.core.world import EndpointState
 
 # While the fleet has at most this many endpoints, detail of all is kept: a first
 # request for a service then never waits for a fetch. The memory is about 1 MB.
@@ -22,38 +22,6 @@
 ENDPOINTS_PER_PART = 5
 
 
-def endpoint_record(endpoint):
-    """Return the message form of an endpoint."""
-    return EndpointRecord(
-        endpoint.endpoint_id,
-        endpoint.vm_id,
-        endpoint.service,
-        endpoint.host,
-        endpoint.port,
-        endpoint.slots,
-        endpoint.connections,
-        endpoint.incarnation,
-        endpoint.state.value,
-        endpoint.health.value,
-    )
-
-
-def endpoint_of(record):
-    """Return the endpoint of its message form."""
-    return Endpoint(
-        record.endpoint_id,
-        record.vm_id,
-        record.service,
-        record.host,
-        record.port,
-        record.slots,
-        record.connections,
-        record.incarnation,
-        EndpointState(record.state),
-        Health(record.health),
-    )
-
-
 def detail_messages(record, endpoints, services):
     """Return the `EndpointDetail` messages that answer a query.
 
--- a/dandelionarch/core/messages/members.py
+++ b/dandelionarch/core/messages/members.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from dandelionarch.core.messages.endpoints import EndpointRecord
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceSlots:
@@ -136,22 +138,6 @@
     vm_ids: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointRecord:
-    """An endpoint as told by its own daemon; fields as in `core.world.Endpoint`."""
-
-    endpoint_id: str
-    vm_id: str
-    service: str
-    host: str
-    port: int
-    slots: int
-    connections: int
-    incarnation: int
-    state: str
-    health: str
-
-
 @dataclass(frozen=True, slots=True)
 class EndpointQuery:
     """Ask a daemon for its endpoints of some services."""
--- a/dandelionarch/core/messages/registry.py
+++ b/dandelionarch/core/messages/registry.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from dandelionarch.core.messages.members import EndpointRecord
+from dandelionarch.core.messages.endpoints import EndpointRecord
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/core/registry.py
+++ b/dandelionarch/core/registry.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from dandelionarch.core.details import endpoint_of, endpoint_record
+from dandelionarch.core.endpoint_records import endpoint_of, endpoint_record
 from dandelionarch.core.messages.registry import VmEntry
 from dandelionarch.core.world import Health, Vm, VmState
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
--- a/dandelionarch/daemon/admin.py
+++ b/dandelionarch/daemon/admin.py
@@ -6,7 +6,6 @@
 from sanic.response import json
 
 from dandelionarch.core.world import Endpoint, EndpointState
-from dandelionarch.daemon.faults import FaultOrder
 from dandelionarch.daemon.parts import new_app
 from dandelionarch.ids import EndpointId, Incarnation, ServiceName
 from dandelionarch.logs import event
@@ -30,6 +29,23 @@
     load: float = pydantic.Field(default=0.0, ge=0)
 
 
+class FaultOrder(pydantic.BaseModel):
+    """The faults to be in force from now on.
+
+    Attributes
+    ----------
+    cut : frozenset of str
+        VMs that nothing sent from here reaches; their messages still arrive.
+    mute : frozenset of str
+        VMs whose present connections go silent; new ones work.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    cut: frozenset[str] = frozenset()
+    mute: frozenset[str] = frozenset()
+
+
 class Admin:
     """The HTTP application on the admin port.
 
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -16,8 +16,8 @@
 from dandelionarch.core.world import EndpointState, Vm
 from dandelionarch.daemon.admin import Admin
 from dandelionarch.daemon.agent import Agent
+from dandelionarch.daemon.bearer_callers import DandelionCallers
 from dandelionarch.daemon.caller_connections import IngressProtocol
-from dandelionarch.daemon.callers import DandelionCallers
 from dandelionarch.daemon.fleet import FleetService
 from dandelionarch.daemon.gossip import Gossip
 from dandelionarch.daemon.health import HealthWatch
--- a/dandelionarch/daemon/faults.py
+++ b/dandelionarch/daemon/faults.py
@@ -6,30 +6,11 @@
 
 import logging
 
-import pydantic
-
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
 
 
-class FaultOrder(pydantic.BaseModel):
-    """The faults to be in force from now on.
-
-    Attributes
-    ----------
-    cut : frozenset of str
-        VMs that nothing sent from here reaches; their messages still arrive.
-    mute : frozenset of str
-        VMs whose present connections go silent; new ones work.
-    """
-
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-    cut: frozenset[str] = frozenset()
-    mute: frozenset[str] = frozenset()
-
-
 class LinkFaults:
     """Which messages to other VMs are dropped."""
 
--- a/dandelionarch/daemon/gossip.py
+++ b/dandelionarch/daemon/gossip.py
@@ -9,7 +9,7 @@
 
 from dandelionarch.core import member_events as events
 from dandelionarch.core import members as table_of
-from dandelionarch.core.details import endpoint_record
+from dandelionarch.core.endpoint_records import endpoint_record
 from dandelionarch.core.membership import TICK_S, Membership
 from dandelionarch.core.messages import members as msgs
 from dandelionarch.core.messages.request import Leaving
--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -50,13 +50,15 @@
         `address_of(vm_id)` returns (host, port) or None.
     idle_ping_s : float, optional
         After how many seconds an unused link is checked; never by default.
+    codec : Codec, optional
+        Of the channels that this daemon uses; all by default.
     """
 
-    def __init__(self, vm_id, shared_key, address_of, idle_ping_s=None):
+    def __init__(self, vm_id, shared_key, address_of, idle_ping_s=None, codec=None):
         self.idle_ping_s = idle_ping_s
         self.vm_id = vm_id
         self.shared_key = shared_key
-        self.codec = Codec()
+        self.codec = codec or Codec()
         self.faults = LinkFaults()
         self.address_of = address_of
         self._links = {}
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -45,6 +45,7 @@
 from dandelionarch.ids import DataCentreId, RegionId, VmId
 from dandelionarch.logs import event
 from dandelionarch.metrics import PageMetrics
+from dandelionarch.wire.codec import Channel, Codec
 
 log = logging.getLogger(__name__)
 
@@ -52,6 +53,7 @@
 # unasked, in case what an agent asks for does not arrive.
 GATE_TRIAL_SHARE = 0.02
 IDLE_PING_S = 2.0
+CHANNELS = (Channel.REQUEST, Channel.REGISTRY, Channel.LOANS)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -106,7 +108,11 @@
     def _build_path(self, cfg):
         self.metrics = PageMetrics()
         self.network = PeerNetwork(
-            self.vm_id, cfg.shared_key.encode(), self._address, IDLE_PING_S
+            self.vm_id,
+            cfg.shared_key.encode(),
+            self._address,
+            IDLE_PING_S,
+            Codec(CHANNELS),
         )
         self.network.subscribe(msgs.Leaving, self._on_leaving)
         self.watch = GateWatch(self.directory, self.network.now)
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -2,51 +2,57 @@
 
 import configparser
 import os
-from typing import Literal
+import re
+from typing import Annotated, Literal
 
-import pydantic
+import msgspec
+from msgspec import Meta
 
-from dandelionarch.core.lists import parse_section
 from dandelionarch.errors import SettingsError
 
-Port = pydantic.Field(ge=1, le=65_535)
 # Left of the time until a process is killed for closing its sockets.
 CLOSE_S = 0.7
-ADDRESS = r"^[A-Za-z0-9_.-]+:[0-9]{1,5}$"
+ADDRESS = r"[A-Za-z0-9_.-]+:[0-9]{1,5}"
+# Where the library names the option that is wrong, and where one is missing or unknown.
+OPTION_PATH = re.compile(r"`\$\.(?:\w+\.)?(\w+)`")
+OPTION_FIELD = re.compile(r"field `(\w+)`")
 
+Port = Annotated[int, Meta(ge=1, le=65_535)]
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9-]{1,63}$")]
+Address = Annotated[str, Meta(pattern=rf"^{ADDRESS}$")]
+OptionalAddress = Annotated[str, Meta(pattern=rf"^({ADDRESS})?$")]
 
-class _Section(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
+class _Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    pass
 
-class VmSection(_Section):
+
+class VmSection(_Section, kw_only=True):
     """Who and where a daemon is."""
 
-    vm: str = pydantic.Field(pattern=r"^[a-z0-9-]{1,63}$")
-    data_centre: str = pydantic.Field(pattern=r"^[a-z0-9-]{1,63}$")
-    region: str = pydantic.Field(default="default", pattern=r"^[a-z0-9-]{1,63}$")
+    vm: Name
+    data_centre: Name
+    region: Name = "default"
     host: str = "127.0.0.1"
-    shared_key: str = pydantic.Field(min_length=16, max_length=256)
+    shared_key: Annotated[str, Meta(min_length=16, max_length=256)]
 
 
-class DaemonSection(VmSection):
+class DaemonSection(VmSection, kw_only=True):
     """`[daemon]` of a daemon with gossip membership."""
 
-    ingress_port: int = Port
-    peer_port: int = Port
-    gossip_port: int = Port
-    admin_port: int = Port
+    ingress_port: Port
+    peer_port: Port
+    gossip_port: Port
+    admin_port: Port
     seeds: str = ""
-    log_url: str = pydantic.Field(pattern=r"^https?://")
+    log_url: Annotated[str, Meta(pattern=r"^https?://")]
 
-    @pydantic.field_validator("seeds")
-    @classmethod
-    def _check_seeds(cls, seeds):
-        for seed in filter(None, (part.strip() for part in seeds.split(","))):
+    def __post_init__(self):
+        for seed in filter(None, (part.strip() for part in self.seeds.split(","))):
             host, _, port = seed.rpartition(":")
             if not host or not port.isdecimal() or not 1 <= int(port) <= 65_535:
-                raise ValueError(f"{seed!r} is not HOST:PORT with port 1 to 65535")
-        return seeds
+                problem = f"{seed!r} is not HOST:PORT with port 1 to 65535"
+                raise ValueError(f"{problem} - at `$.seeds`")
 
     @property
     def seed_addresses(self):
@@ -55,7 +61,7 @@
         return [(host, int(port)) for host, _, port in pairs if host]
 
 
-class ListenSection(_Section):
+class ListenSection(_Section, kw_only=True):
     """`[listen]`: addresses of a daemon that uses a registry, as HOST:PORT.
 
     `callers` takes requests, `reports` what the endpoint beside it says of itself,
@@ -63,11 +69,11 @@
     page of metrics, which is not served without an address.
     """
 
-    callers: str = pydantic.Field(pattern=ADDRESS)
-    reports: str = pydantic.Field(pattern=ADDRESS)
-    readiness: str = pydantic.Field(pattern=ADDRESS)
-    metrics: str = pydantic.Field(default="", pattern=rf"{ADDRESS}|^$")
-    peer_port: int = Port
+    callers: Address
+    reports: Address
+    readiness: Address
+    metrics: OptionalAddress = ""
+    peer_port: Port
 
     @property
     def callers_address(self):
@@ -88,14 +94,14 @@
 class EndpointSection(_Section):
     """`[endpoint]`: the endpoint beside the daemon; empty while there is none."""
 
-    address: str = pydantic.Field(default="", pattern=rf"{ADDRESS}|^$")
+    address: OptionalAddress = ""
     service: str = ""
 
 
 class StoreSection(_Section):
     """`[store]`: the platform's store, as HOST:PORT."""
 
-    address: str = pydantic.Field(pattern=ADDRESS)
+    address: Address
 
 
 class StopSection(_Section):
@@ -105,8 +111,8 @@
     effect; the process is killed `kill_after_s` after it was told to stop.
     """
 
-    drain_s: float = pydantic.Field(default=2.5, ge=0, le=600)
-    kill_after_s: float = pydantic.Field(default=30.0, ge=1, le=3600)
+    drain_s: Annotated[float, Meta(ge=0, le=600)] = 2.5
+    kill_after_s: Annotated[float, Meta(ge=1, le=3600)] = 30.0
 
     @property
     def timeout_s(self):
@@ -120,9 +126,9 @@
     In `window_s` seconds `ratio` per request, and `slack` more.
     """
 
-    ratio: float = pydantic.Field(default=0.1, ge=0, le=10)
-    slack: float = pydantic.Field(default=10.0, ge=0, le=1_000_000)
-    window_s: float = pydantic.Field(default=10.0, ge=1, le=3600)
+    ratio: Annotated[float, Meta(ge=0, le=10)] = 0.1
+    slack: Annotated[float, Meta(ge=0, le=1_000_000)] = 10.0
+    window_s: Annotated[float, Meta(ge=1, le=3600)] = 10.0
 
 
 class LogSection(_Section):
@@ -131,31 +137,31 @@
     Checkpoints are appended at a quarter of it; 0 records means no limit by count.
     """
 
-    retention_s: float = pydantic.Field(default=86_400.0, ge=10, le=31_536_000)
-    retention_records: int = pydantic.Field(default=0, ge=0, le=1_000_000_000)
+    retention_s: Annotated[float, Meta(ge=10, le=31_536_000)] = 86_400.0
+    retention_records: Annotated[int, Meta(ge=0, le=1_000_000_000)] = 0
 
 
 class LimitsSection(_Section):
     """`[limits]`: bounds on what one request or one daemon may take."""
 
-    max_request_body_bytes: int = pydantic.Field(default=8 << 20, ge=1024, le=1 << 30)
-    max_response_body_bytes: int = pydantic.Field(default=64 << 20, ge=1024, le=1 << 32)
-    max_connections: int = pydantic.Field(default=4000, ge=1, le=100_000)
-    max_in_flight: int = pydantic.Field(default=2000, ge=1, le=100_000)
-    stop_timeout_s: float = pydantic.Field(default=30.0, ge=0.1, le=3600)
+    max_request_body_bytes: Annotated[int, Meta(ge=1024, le=1 << 30)] = 8 << 20
+    max_response_body_bytes: Annotated[int, Meta(ge=1024, le=1 << 32)] = 64 << 20
+    max_connections: Annotated[int, Meta(ge=1, le=100_000)] = 4000
+    max_in_flight: Annotated[int, Meta(ge=1, le=100_000)] = 2000
+    stop_timeout_s: Annotated[float, Meta(ge=0.1, le=3600)] = 30.0
 
 
 class OrdersSection(_Section):
     """`[orders]`: how long an idempotency key is remembered."""
 
-    window_s: float = pydantic.Field(default=3600.0, ge=1, le=7 * 86_400)
+    window_s: Annotated[float, Meta(ge=1, le=7 * 86_400)] = 3600.0
 
 
 class StatsdSection(_Section):
     """`[statsd]`: where metrics go; none are sent without a host."""
 
     host: str = ""
-    port: int = pydantic.Field(default=8125, ge=1, le=65_535)
+    port: Port = 8125
     prefix: str = "dandelion"
 
 
@@ -172,11 +178,9 @@
     enabled: bool = False
 
 
-class Settings(pydantic.BaseModel):
+class Settings(_Section):
     """All settings of a daemon."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
     daemon: DaemonSection
     log: LogSection = LogSection()
     limits: LimitsSection = LimitsSection()
@@ -186,11 +190,9 @@
     logs: LogsSection = LogsSection()
 
 
-class RegistrySettings(pydantic.BaseModel):
+class RegistrySettings(_Section, kw_only=True):
     """All settings of a daemon that uses a registry."""
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
     daemon: VmSection
     listen: ListenSection
     endpoint: EndpointSection = EndpointSection()
@@ -238,7 +240,7 @@
     Parameters
     ----------
     path : str
-    settings : type of pydantic model
+    settings : type of msgspec struct
         One field per known section; those without a default must be there.
 
     Raises
@@ -253,20 +255,43 @@
             parser.read_file(stream, source=file)
     except (OSError, UnicodeDecodeError, configparser.Error) as exc:
         raise SettingsError(file, "-", "-", str(exc).replace("\n", " ")) from exc
-    fields, parts = settings.model_fields, {}
+    fields = {field.name: field for field in msgspec.structs.fields(settings)}
+    parts = {}
     for title in parser.sections():
         if title not in fields:
             known = ", ".join(fields)
             raise SettingsError(file, title, "-", f"unknown section; known: {known}")
-        options = dict(parser[title])
-        model = fields[title].annotation
-        parts[title] = parse_section(file, title, model, options, SettingsError)
+        parts[title] = _section(file, title, fields[title].type, dict(parser[title]))
     for title, field in fields.items():
-        if field.is_required() and title not in parts:
+        if field.required and title not in parts:
             raise SettingsError(file, title, "-", "section is missing")
     return parts
 
 
+def settings_of(cls, **sections):
+    """Return settings made of a dict of options per section, as a file would be.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        With the path of the first bad option and the accepted range.
+    """
+    return msgspec.convert(sections, cls, strict=False)
+
+
+def _section(file, title, model, options):
+    """Return the checked section, or raise `SettingsError` naming the bad option."""
+    try:
+        return msgspec.convert(options, model, strict=False)
+    except msgspec.ValidationError as exc:
+        problem = str(exc)
+        found = OPTION_PATH.search(problem) or OPTION_FIELD.search(problem)
+        option = found[1] if found else "-"
+        if option in options:
+            problem = f"{problem} (got {options[option]!r})"
+        raise SettingsError(file, title, option, problem) from exc
+
+
 def _check_window(file, settings):
     # A claim that is truncated within the window could be granted a second time.
     limit_s = settings.log.retention_s / 2
--- a/dandelionarch/measure/membership.py
+++ b/dandelionarch/measure/membership.py
@@ -7,8 +7,9 @@
 
 from dandelionarch.core import fleet_records as records
 from dandelionarch.core import members as table_of
-from dandelionarch.core.details import detail_messages, endpoint_of
+from dandelionarch.core.details import detail_messages
 from dandelionarch.core.directory import Directory
+from dandelionarch.core.endpoint_records import endpoint_of
 from dandelionarch.core.exchange import PlainExchange, TreeExchange
 from dandelionarch.core.fleet import FleetFold
 from dandelionarch.core.messages import members as msgs
--- a/dandelionarch/wire/codec.py
+++ b/dandelionarch/wire/codec.py
@@ -6,33 +6,28 @@
 
 import dataclasses
 import functools
+import importlib
 import typing
 from enum import IntEnum
 from pathlib import Path
 
 import capnp
 
-from dandelionarch.core.messages import (
-    evidence,
-    limits,
-    loans,
-    members,
-    orders,
-    registry,
-    request,
-    streams,
-)
 from dandelionarch.errors import MessageDecodeError
 
 capnp.remove_import_hook()
 
 SCHEMA_DIR = Path(__file__).parent
+MESSAGES = "dandelionarch.core.messages"
 TRAVERSAL_LIMIT_WORDS = 1 << 20
 NESTING_LIMIT = 8
 
 
 class Channel(IntEnum):
-    """Concern of a message, the first byte of its frame."""
+    """Concern of a message, the first byte of its frame.
+
+    The schema and the module of the message classes bear its name.
+    """
 
     REQUEST = 0
     MEMBERS = 1
@@ -44,18 +39,6 @@
     LOANS = 8
 
 
-CHANNELS = {
-    Channel.REQUEST: ("request.capnp", request.MESSAGES),
-    Channel.MEMBERS: ("members.capnp", members.MESSAGES),
-    Channel.STREAMS: ("streams.capnp", streams.MESSAGES),
-    Channel.EVIDENCE: ("evidence.capnp", evidence.MESSAGES),
-    Channel.LIMITS: ("limits.capnp", limits.MESSAGES),
-    Channel.REGISTRY: ("registry.capnp", registry.MESSAGES),
-    Channel.ORDERS: ("orders.capnp", orders.MESSAGES),
-    Channel.LOANS: ("loans.capnp", loans.MESSAGES),
-}
-
-
 def _camel(name):
     head, *rest = name.split("_")
     return head + "".join(part.capitalize() for part in rest)
@@ -112,18 +95,29 @@
 
 
 class Codec:
-    """Encodes and decodes the messages of all channels."""
+    """Encodes and decodes the messages of some channels.
+
+    Parameters
+    ----------
+    channels : iterable of Channel, optional
+        All by default. Schemas and message classes of others are not loaded, which
+        would take a good part of a daemon's start.
+    """
 
-    def __init__(self):
+    def __init__(self, channels=tuple(Channel)):
         self._envelopes = {}
         self._by_class = {}
         self._by_name = {}
-        for channel, (file, classes) in CHANNELS.items():
-            schema = capnp.load(str(SCHEMA_DIR / file))
-            self._envelopes[channel] = schema.Envelope
-            for cls in classes:
-                self._by_class[cls] = (channel, _union_name(cls))
-                self._by_name[channel, _union_name(cls)] = cls
+        for channel in channels:
+            self._load(channel)
+
+    def _load(self, channel):
+        name = channel.name.lower()
+        schema = capnp.load(str(SCHEMA_DIR / f"{name}.capnp"))
+        self._envelopes[channel] = schema.Envelope
+        for cls in importlib.import_module(f"{MESSAGES}.{name}").MESSAGES:
+            self._by_class[cls] = (channel, _union_name(cls))
+            self._by_name[channel, _union_name(cls)] = cls
 
     def encode(self, msg):
         """Return (channel, bytes) of a message."""
