Keep links to a bounded set of VMs instead of to every VM

Candidates are the VMs that are chosen or linked. Ruled out: links on demand; the first request after a pause would wait for a dial, and a missing link would no longer show a fault.

--- a/dandelionarch/core/directory.py
+++ b/dandelionarch/core/directory.py
@@ -77,10 +77,10 @@
         self.vms.pop(vm_id, None)
 
     def mark_health(self, endpoint_id, health):
-        """Record what an endpoint's agent says of its health."""
+        """Record what an endpoint's agent says of its health; no listener is called."""
         known = self.endpoints.get(endpoint_id)
-        if known is not None:
-            self.put_endpoint(dataclasses.replace(known, health=health))
+        if known is not None and known.health is not health:
+            self.endpoints[endpoint_id] = dataclasses.replace(known, health=health)
 
     def set_endpoint_state(self, endpoint_id, incarnation, state):
         """Record the state of an endpoint incarnation, if it is a known one."""
--- a/dandelionarch/daemon/endpoint_views.py
+++ b/dandelionarch/daemon/endpoint_views.py
@@ -10,6 +10,7 @@
 from dandelionarch.core.selection import TRIAL_SHARE, Candidate
 from dandelionarch.core.trials import TrialInvites
 from dandelionarch.core.world import Health
+from dandelionarch.ids import VmId
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,13 +19,15 @@
 
     `trial_share` is the share of idempotent requests that try unhealthy endpoints.
     With `links_kept_open` a link is opened before it is needed, so that one that is
-    not open is a fault. `make_budget` returns the retry budget of one service. With
+    not open is a fault. `in_reach(vm_id)` says whether endpoints of a VM are
+    candidates at all. `make_budget` returns the retry budget of one service. With
     `gates_told` agents tell at once when an endpoint takes no more work that is not
     idempotent. With `retries_lent` ingresses lend each other parts of their budgets.
     """
 
     trial_share: float = TRIAL_SHARE
     links_kept_open: bool = False
+    in_reach: Callable[[VmId], bool] = lambda vm_id: True
     make_budget: Callable[[], RetryBudget] = RetryBudget
     gates_told: bool = False
     retries_lent: bool = False
@@ -62,11 +65,13 @@
         self._invites = TrialInvites()
 
     def candidates(self, service):
-        """Return a `Candidate` for each endpoint of a service."""
+        """Return a `Candidate` for each endpoint of a service that is in reach."""
         own = self._directory.vms.get(self._network.vm_id)
         now = asyncio.get_running_loop().time()
         candidates = []
         for endpoint in self._directory.endpoints_of(service):
+            if not self._rules.in_reach(endpoint.vm_id):
+                continue
             vm = self._directory.vms.get(endpoint.vm_id)
             cand = Candidate(endpoint, vm)
             cand.in_flight = self._in_flight.get(endpoint.endpoint_id, 0)
--- a/dandelionarch/daemon/link_keeper.py
+++ b/dandelionarch/daemon/link_keeper.py
@@ -1,4 +1,4 @@
-"""Task that keeps a link open to every living VM."""
+"""Task that keeps a link open to every VM that this daemon has chosen."""
 
 import asyncio
 from dataclasses import dataclass
@@ -8,15 +8,18 @@
 PERIOD_S = 0.1
 RETRY_MIN_S = 0.25
 RETRY_MAX_S = 2.0
+# The first connection to a VM that starts at the same time may come too early.
+UNREACHABLE_FAILURES = 2
 
 
 @dataclass(slots=True)
 class Retry:
-    """When a VM's incarnation is dialled next, in seconds."""
+    """When a VM's incarnation is dialled next, in seconds, and how often it failed."""
 
     incarnation: int
     due: float
     pause_s: float = RETRY_MIN_S
+    failures: int = 0
 
 
 class LinkKeeper:
@@ -26,29 +29,45 @@
     ----------
     network : PeerNetwork
     directory : Directory
+    neighbours : Neighbours
     """
 
-    def __init__(self, network, directory):
+    def __init__(self, network, directory, neighbours):
         self._network = network
         self._directory = directory
+        self._neighbours = neighbours
         self._retries = {}
 
     async def run(self):
         """Dial what is not connected until cancelled."""
         while True:
-            now = self._network.now()
-            living = {vm.vm_id: vm for vm in self._directory.living_vms()}
-            self._forget(living)
-            for vm in living.values():
-                if not self._network.is_up(vm.vm_id) and self._is_due(vm, now):
-                    self._network.spawn(self._dial(vm.vm_id))
+            self.dial_due()
             await asyncio.sleep(PERIOD_S)
 
-    def _forget(self, living):
+    def dial_due(self):
+        """Begin to dial the chosen VMs that are not connected and are due."""
+        now = self._network.now()
+        chosen = self._neighbours.chosen(self._unreachable())
+        vms = [self._directory.vms[vm_id] for vm_id in chosen]
+        self._forget(vms)
+        for vm in vms:
+            if not self._network.is_up(vm.vm_id) and self._is_due(vm, now):
+                self._network.spawn(self._dial(vm.vm_id))
+
+    def _unreachable(self):
+        return frozenset(
+            vm_id
+            for vm_id, retry in self._retries.items()
+            if retry.failures >= UNREACHABLE_FAILURES
+        )
+
+    def _forget(self, vms):
+        """Drop what is known of VMs that are not chosen any more or have restarted."""
+        incarnations = {vm.vm_id: vm.incarnation for vm in vms}
         self._retries = {
             vm_id: retry
             for vm_id, retry in self._retries.items()
-            if vm_id in living and retry.incarnation == living[vm_id].incarnation
+            if incarnations.get(vm_id) == retry.incarnation
         }
 
     def _is_due(self, vm, now):
@@ -65,5 +84,8 @@
             await self._network.link(vm_id)
         except LinkError:
             # Logged by the network; the next attempt is due after the pause.
+            retry = self._retries.get(vm_id)
+            if retry is not None:
+                retry.failures += 1
             return
         self._retries.pop(vm_id, None)
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -16,6 +16,7 @@
 
 from dandelionarch.core.keyed_log import KeyedLog
 from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.neighbours import Neighbours
 from dandelionarch.core.retries import FleetBudget, FleetShareBudget
 from dandelionarch.core.routing_config import ActiveRouting, ConfigFormat
 from dandelionarch.core.world import Vm, VmState
@@ -116,6 +117,7 @@
         )
         self.network.subscribe(msgs.Leaving, self._on_leaving)
         self.watch = GateWatch(self.directory, self.network.now)
+        self._neighbours = Neighbours(self.vm, self.directory)
         self.agent = Agent(
             self.network, self.directory, self.vm_id, self.watch, self._platform.dialect
         )
@@ -134,6 +136,7 @@
             IngressRules(
                 trial_share=GATE_TRIAL_SHARE,
                 links_kept_open=True,
+                in_reach=self._in_reach,
                 make_budget=self._make_budget,
                 gates_told=True,
                 retries_lent=True,
@@ -152,6 +155,9 @@
         budget = FleetBudget(cfg.ratio, cfg.slack, cfg.window_s)
         return FleetShareBudget(budget, self._daemons_known, self._rng.random())
 
+    def _in_reach(self, vm_id):
+        return self._neighbours.holds(vm_id) or self.network.is_up(vm_id)
+
     def _daemons_known(self):
         """Return the greatest number of living VMs that was known at once.
 
@@ -191,7 +197,7 @@
             self._on_config,
             self._rng,
         )
-        self._keeper = LinkKeeper(self.network, self.directory)
+        self._keeper = LinkKeeper(self.network, self.directory, self._neighbours)
         followers = (self._config.follower, self.registry.follower)
         self._copies = StateCopies(self.network, followers, self, self._rng)
 
