Send orders where answers came from a moment ago

Cause: each endpoint begins a failing spell every nine seconds or so, and the first request that meets it is lost if it is not idempotent. Change: an endpoint that has answered nothing for 0.5 s turns a movable order away and tells its risk as a wait; idempotent work goes there and shows whether it still answers. Ruled out: keeping idempotent work away too; nobody would renew the evidence.

--- a/dandelionarch/core/stalls.py
+++ b/dandelionarch/core/stalls.py
@@ -21,6 +21,10 @@
 SUSPECT = 4.5
 DOUBTFUL = 0.7
 ANSWER_WEIGHT = -math.log(1 - LOST_SHARE)
+# An endpoint may have begun to fail since its last answer, the more likely the longer
+# ago that was. Such a risk is worth about as long a wait elsewhere.
+FRESH_S = 0.5
+MOST_RISK_S = 2.0
 # Answers to runs that began after an old one; more would change nothing.
 ANSWERS_KEPT = 16
 
@@ -48,16 +52,18 @@
         self._survival = survival
         self._running = {}
         self._answered = deque(maxlen=ANSWERS_KEPT)
+        self._answered_at = -math.inf
 
     def started(self, run, key, now):
         """Take note of a run that begins; `key` names its kind of work."""
         self._running[run] = _Running(key, now)
 
-    def ended(self, run, answered):
+    def ended(self, run, answered, now):
         """Take note of the end of a run."""
         known = self._running.pop(run, None)
         if known is not None and answered:
             self._answered.append(known.started)
+            self._answered_at = now
 
     def evidence(self, now):
         """Return the logarithm of the likelihood ratio, 0 without old runs.
@@ -76,9 +82,15 @@
         """Return True if the endpoint has most likely stopped answering."""
         return self.evidence(now) >= SUSPECT
 
-    def is_doubtful(self, now):
-        """Return True if work that can't be repeated is better off elsewhere."""
-        return self.evidence(now) >= DOUBTFUL
+    def risk_s(self, now):
+        """Return the wait elsewhere that is better for work that can't be repeated.
+
+        It is 0 for an endpoint that has answered a moment ago.
+        """
+        if self.evidence(now) >= DOUBTFUL:
+            return MOST_RISK_S
+        age_s = now - self._answered_at
+        return 0.0 if age_s <= FRESH_S else min(MOST_RISK_S, age_s)
 
     def hung_runs(self, now):
         """Return the runs that are taken for hung if the endpoint is suspect."""
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -227,14 +227,17 @@
         if not self._watch.admits(local.endpoint, head.idempotent):
             return Reason.EJECTED
         may_move = not head.may_wait and not head.idempotent
-        if may_move and self._watch.doubts(local.endpoint):
+        if may_move and self._watch.risk_s(local.endpoint):
             return Reason.BUSY
         return None
 
     def _refuse(self, run, local, reason):
         load = local.load() if local else msgs.LoadReport("", 0, 0, 0, "healthy", 1.0)
         now = asyncio.get_running_loop().time()
-        retry_after_ms = int(local.queue.retry_after_s(now) * 1000) if local else 0
+        wait_s = local.queue.retry_after_s(now) if local else 0.0
+        if reason is Reason.BUSY:
+            wait_s += self._watch.risk_s(local.endpoint)
+        retry_after_ms = int(wait_s * 1000)
         event(
             log,
             "placement",
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -52,9 +52,9 @@
     def asked(self, endpoint, link, idempotent):
         """Take note of a request over a link, whether it is let in or not."""
 
-    def doubts(self, endpoint):
-        """Return True if work that can't be repeated is better off elsewhere."""
-        return False
+    def risk_s(self, endpoint):
+        """Return the wait elsewhere that is better for work that can't be repeated."""
+        return 0.0
 
     @abstractmethod
     def admitted(self, endpoint, run):
@@ -142,9 +142,15 @@
         for run in stalls.untold(hung):
             self.on_straggler(run)
 
-    def doubts(self, endpoint):
+    def risk_s(self, endpoint):
+        return self._stalls_of(endpoint).risk_s(self._now())
+
+    def _stalls_of(self, endpoint):
         stalls = self._stalls.get(endpoint.endpoint_id)
-        return stalls is not None and stalls.is_doubtful(self._now())
+        if stalls is None:
+            survival = functools.partial(self.survival, endpoint.endpoint_id)
+            stalls = self._stalls[endpoint.endpoint_id] = StallDetector(survival)
+        return stalls
 
     def invite(self):
         """Ask for the trials that are due."""
@@ -184,22 +190,18 @@
         self._gate(endpoint).began(run, self._now())
 
     def started(self, endpoint, run, kind):
-        stalls = self._stalls.get(endpoint.endpoint_id)
-        if stalls is None:
-            survival = functools.partial(self.survival, endpoint.endpoint_id)
-            stalls = self._stalls[endpoint.endpoint_id] = StallDetector(survival)
-        stalls.started(run, run.head.route, self._now())
+        self._stalls_of(endpoint).started(run, run.head.route, self._now())
 
     def answered(self, endpoint, run, status):
         self._statuses[run] = status
         stalls = self._stalls.get(endpoint.endpoint_id)
         if stalls is not None:
-            stalls.ended(run, status < SERVER_ERROR)
+            stalls.ended(run, status < SERVER_ERROR, self._now())
 
     def ended(self, endpoint, run, reason, kind):
         stalls = self._stalls.get(endpoint.endpoint_id)
         if stalls is not None:
-            stalls.ended(run, answered=False)
+            stalls.ended(run, answered=False, now=self._now())
         result = self._result(run, reason)
         if result is RunResult.APPLICATION_ERROR and self._is_shared(endpoint):
             result = RunResult.INCONCLUSIVE
--- a/tests/test_busy_load.py
+++ b/tests/test_busy_load.py
@@ -16,6 +16,7 @@
 from dandelionarch.core.ingress import Dispatch, RequestLife, Work
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.selection import Candidate, TwoChoices, select
+from dandelionarch.core.stalls import StallDetector
 from dandelionarch.core.world import Endpoint, Health, Vm
 from dandelionarch.daemon.registry_app import BUSY_MOVES
 
@@ -107,6 +108,64 @@
             self._begin(queue, following)
 
 
+class FailingService:
+    """Endpoints that fail in spells; orders and idempotent work share them.
+
+    Every nine seconds each endpoint breaks 17 in 20 connections for 2.7 s. An agent
+    closes its gate at the first one; a trial every half second opens it.
+    """
+
+    def __init__(self, seed, turn_away):
+        self.rng = random.Random(seed)
+        self.turn_away = turn_away
+        self.now = 0.0
+        self.orders = self.lost = 0
+        self.offsets_s = [self.rng.uniform(0, 9.0) for _ in range(ENDPOINTS)]
+        self.stalls = [StallDetector(lambda key, age_s: None) for _ in range(ENDPOINTS)]
+        self.closed_until = [0.0] * ENDPOINTS
+
+    def run(self, seconds, per_s, order_share):
+        """Let requests come, and return the share of orders that are lost."""
+        while self.now < seconds:
+            self.now += self.rng.expovariate(per_s)
+            if self.rng.random() < order_share:
+                self.orders += 1
+                self.lost += not self._served(self._place())
+            else:
+                self._served(self.rng.randrange(ENDPOINTS))
+        return self.lost / self.orders
+
+    def _place(self):
+        is_open = [n for n in range(ENDPOINTS) if self.closed_until[n] <= self.now]
+        asked = self.rng.sample(is_open, min(BUSY_MOVES, len(is_open)))
+        risks = {n: self.stalls[n].risk_s(self.now) for n in asked}
+        if not self.turn_away:
+            return asked[0]
+        return next((n for n in asked if not risks[n]), min(risks, key=risks.get))
+
+    def _served(self, number):
+        run = object()
+        self.stalls[number].started(run, "k", self.now)
+        in_spell = (self.now + self.offsets_s[number]) % 9.0 < 2.7
+        served = not in_spell or self.rng.random() > 0.85
+        self.stalls[number].ended(run, served, self.now)
+        self.closed_until[number] = 0.0 if served else self.now + 0.5
+        return served
+
+
+class TestSpells:
+    """Orders go where answers come from at present."""
+
+    def test_fresh_endpoints_first(self):
+        """Guards against orders that are the first to meet a failing spell.
+
+        On sengupta-lamps-large quiet-1, 302 of 7,557 requests ended with 502, most of
+        them orders at the beginning of a spell.
+        """
+        lost = [FailingService(1, turn).run(60.0, 75.0, 0.7) for turn in (False, True)]
+        assert lost[1] <= 0.7 * lost[0]
+
+
 class TestClosedGatesBesideBusyOnes:
     """A call waits for an open endpoint before it is refused at closed gates."""
 
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -13,7 +13,7 @@
 
 from dandelionarch.core.costs import CostModel
 from dandelionarch.core.gate import EndpointGate, RunResult
-from dandelionarch.core.stalls import StallDetector
+from dandelionarch.core.stalls import MOST_RISK_S, StallDetector
 from dandelionarch.core.world import Health
 
 ROUTE = "r"
@@ -79,7 +79,7 @@
     def _end(self, run, began, answered):
         if answered:
             self.costs.observe(ROUTE, self.now - began)
-        self.stalls.ended(run, answered)
+        self.stalls.ended(run, answered, self.now)
         result = RunResult.SERVED if answered else RunResult.APPLICATION_ERROR
         self.gate.ended(run, result, self.now)
 
@@ -174,7 +174,7 @@
         stalls.started("old", ROUTE, 0.0)
         assert stalls.is_suspect(2.0)
         stalls.started("new", ROUTE, 1.5)
-        stalls.ended("new", answered=True)
+        stalls.ended("new", answered=True, now=1.9)
         assert not stalls.is_suspect(2.0)
 
     def test_hang_beside_a_straggler_is_seen(self):
@@ -183,7 +183,7 @@
         stalls.started("straggler", ROUTE, 0.0)
         for n in range(10):
             stalls.started(n, ROUTE, 1.0)
-            stalls.ended(n, answered=True)
+            stalls.ended(n, answered=True, now=1.5)
         assert not stalls.is_suspect(2.5)
         stalls.started("hung", ROUTE, 2.0)
         assert stalls.is_suspect(4.0)
@@ -191,9 +191,22 @@
     def test_doubt_comes_before_suspicion(self):
         """Guards against sending an order where it most likely hangs."""
         stalls = self.detector(0.3)
-        stalls.started("old", ROUTE, 0.0)
-        assert stalls.is_doubtful(2.0)
-        assert not stalls.is_suspect(2.0)
+        stalls.started("new", ROUTE, 1.7)
+        stalls.ended("new", answered=True, now=1.8)
+        assert stalls.risk_s(2.0) == 0.0
+        stalls.started("old", ROUTE, 1.9)
+        assert stalls.risk_s(3.0) == MOST_RISK_S
+        assert not stalls.is_suspect(3.0)
+
+    def test_risk_grows_with_the_time_since_the_last_answer(self):
+        """Guards against an order to an endpoint of which nothing was heard lately."""
+        stalls = self.detector(1.0)
+        stalls.started("run", ROUTE, 0.0)
+        stalls.ended("run", answered=True, now=1.0)
+        risks = [stalls.risk_s(1.0 + age_s) for age_s in (0.1, 0.6, 1.5, 60.0)]
+        assert risks[0] == 0.0
+        assert risks == sorted(risks)
+        assert risks[-1] == MOST_RISK_S
 
 
 class TestGate:
