Go on to the other busy endpoint after a refusal

Two endpoints had told their waits; the one with the shorter wait then refused the work itself, the other one was excluded as tried, and after a pause the refusing endpoint was asked again until the route's attempts were used up. Change: what a wait was told of stays a choice until it is taken, and an endpoint that was reached stays excluded. Tests: two in tests/test_parking.py, which failed before.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -135,7 +135,6 @@
         self._give_back = None
         self._busy_moves = busy_moves
         self._waits_s = {}
-        self._waited = False
         self._parks = parks
         self._park_until = -math.inf
         self._refused_at = set()
@@ -162,7 +161,6 @@
         self.tried -= self._refused_at
         self._refused_at.clear()
         self._waits_s.clear()
-        self._waited = False
         self._dispatch_limit = self.attempts + MAX_DISPATCHES
         self._give_back = self._reserve()
         return self._dispatch(reason, now)
@@ -170,11 +168,10 @@
     def not_run(self, reason, now, retry_after_s=0.0):
         """Handle a proof that the current attempt was not run."""
         self._sent = False
-        if reason is not Reason.WORKER_REFUSED:
-            self._refused_at.add(self._current)
+        self._refused_at.add(self._current)
         self._least_s = retry_after_s
         if reason is Reason.WORKER_REFUSED:
-            self._reached += 1
+            self._reach()
         if reason is Reason.BUSY and self._give_back is not None:
             self._waits_s[self._current] = retry_after_s
             if len(self._waits_s) >= self._busy_moves:
@@ -187,7 +184,7 @@
         """Handle an attempt that ended after the endpoint may have seen it."""
         self._sent = False
         self._may_have_run = True
-        self._reached += 1
+        self._reach()
         self._settle()
         if not self.work.idempotent or reason is Reason.DEADLINE:
             return self._refuse(reason)
@@ -243,11 +240,16 @@
         if not self.work.idempotent:
             return self.answered()
         self._may_have_run = True
-        self._reached += 1
+        self._reach()
         self._settle()
         command = self._again(Reason.ENDPOINT_ERROR, now, proven=False)
         return command if isinstance(command, Dispatch) else self.answered()
 
+    def _reach(self):
+        """Count the current endpoint, which stays excluded from now on."""
+        self._reached += 1
+        self._refused_at.discard(self._current)
+
     def _settle(self):
         if self._give_back is not None:
             self._give_back()
@@ -302,7 +304,7 @@
 
     def _choose_next(self):
         """Return the next choice; the wait at a busy endpoint precedes closed gates."""
-        waits = self._waits_s and not self._waited
+        waits = bool(self._waits_s)
         if waits and self._give_back is None and self._busy_moves > 1:
             return self._choose_shortest_wait()
         decision = self._choose(self.work, frozenset(self.tried))
@@ -316,9 +318,9 @@
 
         It may have gone or closed meanwhile; then any endpoint will do.
         """
-        self._waited = True
         self._give_back = None
         shortest = min(self._waits_s, key=self._waits_s.get)
+        del self._waits_s[shortest]
         decision = self._choose(self.work, frozenset(), frozenset({shortest}))
         if decision.chosen is not None:
             return decision
--- a/tests/test_parking.py
+++ b/tests/test_parking.py
@@ -105,6 +105,29 @@
         assert isinstance(command, Park)
         assert not isinstance(gates.life.resume(command.reason, 0.4), Dispatch)
 
+    def test_other_busy_endpoint_is_next_after_a_refusal(self):
+        """Guards against a refusal beside an endpoint that only told its wait."""
+        gates = Gates(size=2, open_ids=["i-0", "i-1"])
+        command = gates.life.start(0.0)
+        first = command.endpoint.endpoint_id
+        command = gates.life.not_run(Reason.BUSY, 0.0, 0.1)
+        command = gates.life.not_run(Reason.BUSY, 0.0, 0.2)
+        assert (command.endpoint.endpoint_id, command.may_wait) == (first, True)
+        command = gates.life.not_run(Reason.WORKER_REFUSED, 0.1)
+        assert isinstance(command, Dispatch)
+        assert command.endpoint.endpoint_id != first
+        assert command.may_wait
+
+    def test_endpoint_that_refused_itself_is_not_tried_again(self):
+        """Guards against using up a route's attempts at one full endpoint."""
+        gates = Gates(size=1, open_ids=["i-0"])
+        gates.life.start(0.0)
+        gates.life.not_run(Reason.BUSY, 0.0, 0.1)
+        command = gates.life.not_run(Reason.WORKER_REFUSED, 0.1)
+        assert isinstance(command, Park)
+        command = gates.life.resume(command.reason, 0.4)
+        assert isinstance(command, Park)
+
     def test_it_is_refused_once_its_work_would_end_too_late(self):
         """Guards against holding a caller for what can't be served any more."""
         gates = Gates()
