--- a/dandelionarch/daemon/attempt.py
+++ b/dandelionarch/daemon/attempt.py
@@ -8,7 +8,7 @@
 from sanic.exceptions import SanicException
 
 from dandelionarch.core.messages import request as msgs
-from dandelionarch.daemon.agent import CHUNK_BYTES, WINDOW_BYTES
+from dandelionarch.daemon.run import CHUNK_BYTES, WINDOW_BYTES
 from dandelionarch.errors import BodyTooLargeError, BrokenAnswerError, LinkError
 
 log = logging.getLogger(__name__)
@@ -167,3 +167,8 @@
             yield msg.data
             # Only what the caller has taken is replaced.
             self.stream.credit(len(msg.data))
+
+
+def goes_inline(req):
+    """Return True if a request's body goes with its head."""
+    return req.rest is None and len(req.body) <= CHUNK_BYTES
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -12,10 +12,16 @@
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.retries import ReturnSchedule
 from dandelionarch.core.selection import TwoChoices, select
-from dandelionarch.daemon.agent import CHUNK_BYTES
-from dandelionarch.daemon.attempt import Answer, AttemptStream, CallerFault, LinkLost
+from dandelionarch.daemon.attempt import (
+    Answer,
+    AttemptStream,
+    CallerFault,
+    LinkLost,
+    goes_inline,
+)
 from dandelionarch.daemon.decision_log import DecisionLog
 from dandelionarch.daemon.endpoint_views import EndpointViews, IngressRules
+from dandelionarch.daemon.replies import REPLIES, draws_on_budget, reason_of
 from dandelionarch.daemon.retry_loans import RetryLoans
 from dandelionarch.daemon.watch import SERVER_ERROR
 from dandelionarch.errors import CallerBodyError, LinkError
@@ -27,13 +33,6 @@
 FETCH_TIMEOUT_S = 0.5
 # Agents tell when a gate opens; what else may come back, such as a link, is looked for.
 PARK_CHECK_S = 0.25
-REPLIES = (
-    msgs.ResponseHead,
-    msgs.ResponseChunk,
-    msgs.Refusal,
-    msgs.Failure,
-    msgs.Straggling,
-)
 
 
 class Ingress:
@@ -142,7 +141,7 @@
 
     def _reserve_redirect(self, budget, req):
         """Reserve a redirect for a request that goes to its agent in one message."""
-        if not _inline(req):
+        if not goes_inline(req):
             return None
         if budget.redirects_are_free:
             return lambda: None
@@ -218,7 +217,7 @@
         return stream
 
     def _send_request(self, stream, work, req, budget_s, may_wait):
-        inline = _inline(req)
+        inline = goes_inline(req)
         stream.link.send(
             msgs.RequestHead(
                 stream.attempt_id,
@@ -310,13 +309,13 @@
     async def _await_answer(self, life, stream, msg):
         """Return (command, True if the agent has ended the attempt)."""
         loop = asyncio.get_running_loop()
-        if _draws_on_budget(msg):
+        if draws_on_budget(msg):
             await self._replenish(life, isinstance(msg, msgs.Refusal))
         if isinstance(msg, msgs.Refusal):
             least_s = msg.retry_after_ms / 1000
-            return life.not_run(_reason(msg), loop.time(), least_s), True
+            return life.not_run(reason_of(msg), loop.time(), least_s), True
         if isinstance(msg, msgs.Failure):
-            return life.failed(_reason(msg), loop.time()), True
+            return life.failed(reason_of(msg), loop.time()), True
         if isinstance(msg, LinkLost):
             return life.failed(Reason.LINK_LOST, loop.time()), True
         if isinstance(msg, CallerFault):
@@ -402,23 +401,3 @@
             stream.mailbox.put_nowait(LinkLost())
         if lost:
             self._views.link_failed(link.vm_id)
-
-
-def _inline(req):
-    """Return True if a request's body goes with its head."""
-    return req.rest is None and len(req.body) <= CHUNK_BYTES
-
-
-def _draws_on_budget(msg):
-    """Return True if another attempt after this message reaches a second endpoint."""
-    if isinstance(msg, msgs.Refusal):
-        return _reason(msg) is Reason.WORKER_REFUSED
-    return isinstance(msg, msgs.Failure | LinkLost)
-
-
-def _reason(msg):
-    """Return the reason in a message, also if a newer daemon has sent it."""
-    try:
-        return Reason(msg.reason)
-    except ValueError:
-        return Reason.OTHER
