Let settings switch off single mechanisms by name

An ablation needs the same program with one mechanism less. A section [mechanisms] of the daemon's settings names what is off; nothing is off by itself. Behaviour is unchanged without it. Ruled out: a build for each mechanism, as the code measured would differ.

--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from dandelionarch.core.costs import CostModel
+from dandelionarch.core.mechanisms import Mechanism
 
 # A second of waiting outweighs a second of cost, so that long work overtakes short
 # work that came later by more than the difference of their costs.
@@ -172,6 +173,16 @@
     refuse_late: bool = True
     priorities: bool = True
 
+    @classmethod
+    def without(cls, off):
+        """Return the rules without the `Mechanism`s of a set."""
+        return cls(
+            shortest_first=Mechanism.SHORTEST_FIRST not in off,
+            short_slot=Mechanism.SHORT_SLOT not in off,
+            refuse_late=Mechanism.LATE_REFUSALS not in off,
+            priorities=Mechanism.PRIORITIES not in off,
+        )
+
 
 class CostQueue(AdmissionQueue):
     """Queue by cost and age that refuses at once what can't end in time.
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -8,7 +8,8 @@
 
 import aiohttp
 
-from dandelionarch.core.admission import CostQueue
+from dandelionarch.core.admission import CostQueue, QueueRules
+from dandelionarch.core.mechanisms import Mechanism
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.selection import warmup_ramp
@@ -37,9 +38,10 @@
 class LocalEndpoint:
     """An endpoint beside this daemon with its slots."""
 
-    def __init__(self, endpoint):
+    def __init__(self, endpoint, off=frozenset()):
         self.endpoint = endpoint
-        self.queue = CostQueue(endpoint.slots)
+        self.queue = CostQueue(endpoint.slots, rules=QueueRules.without(off))
+        self._warms_up = Mechanism.WARM_UP not in off
 
     def load(self):
         """Return the `LoadReport` that goes with each reply."""
@@ -49,14 +51,20 @@
             self.queue.queued,
             self.endpoint.slots,
             self.endpoint.health.value,
-            warmup_ramp(time.time() - self.endpoint.incarnation / 1000),
+            self._warmup(),
         )
 
+    def _warmup(self):
+        if not self._warms_up:
+            return 1.0
+        return warmup_ramp(time.time() - self.endpoint.incarnation / 1000)
+
 
 class Agent:
     """Task that owns the connections to the endpoints of this VM."""
 
-    def __init__(self, network, directory, vm_id, watch, dialect=None):
+    def __init__(self, network, directory, vm_id, watch, dialect=None, off=frozenset()):
+        self._off = off
         self._network = network
         self._directory = directory
         self._watch = watch
@@ -135,7 +143,8 @@
         local = self._local.get(endpoint_id)
         started = endpoint.incarnation
         if local is None or not same_start(local.endpoint.incarnation, started):
-            local = self._local[endpoint_id] = LocalEndpoint(endpoint)
+            local = LocalEndpoint(endpoint, self._off)
+            self._local[endpoint_id] = local
         local.endpoint = endpoint
         return local
 
--- a/dandelionarch/daemon/endpoint_views.py
+++ b/dandelionarch/daemon/endpoint_views.py
@@ -26,6 +26,7 @@
     idempotent. With `retries_lent` ingresses lend each other parts of their budgets.
     `busy_moves` is how many busy endpoints may turn a request away in a row. With
     `parks` a request waits for a part of its time while no endpoint can be had.
+    `off` holds what is switched off.
     """
 
     trial_share: float = TRIAL_SHARE
@@ -36,6 +37,11 @@
     retries_lent: bool = False
     busy_moves: int = 1
     parks: bool = False
+    off: frozenset = frozenset()
+
+    def uses(self, mechanism):
+        """Return True unless a `Mechanism` is switched off."""
+        return mechanism not in self.off
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -8,6 +8,7 @@
 
 from dandelionarch.core.hedging import HedgeDelays
 from dandelionarch.core.ingress import Deliver, Dispatch, Park, RequestLife
+from dandelionarch.core.mechanisms import Mechanism
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.retries import ReturnSchedule
@@ -33,6 +34,8 @@
 FETCH_TIMEOUT_S = 0.5
 # Agents tell when a gate opens; what else may come back, such as a link, is looked for.
 PARK_CHECK_S = 0.25
+# Stages of the choice that a mechanism stands for.
+STAGES = {Mechanism.NEAR_FIRST: "near_first", Mechanism.FREE_SLOTS: "not_full"}
 
 
 class Ingress:
@@ -48,6 +51,11 @@
         self._budgets = {}
         self._returns = ReturnSchedule()
         self._hedging = HedgeDelays()
+        self._skipped = frozenset(
+            stage
+            for mechanism, stage in STAGES.items()
+            if not self._rules.uses(mechanism)
+        )
         self._attempt_ids = itertools.count(1)
         self._streams = {}
         self._views = EndpointViews(network, directory, self._rules)
@@ -97,7 +105,7 @@
             self._choose,
             deadline,
             self._rng,
-            lambda reason, proven: budget.may_retry(loop.time(), reason, proven),
+            lambda reason, proven: self._may_retry(budget, reason, proven),
             self.retry_after_s,
             req.replayable,
             lambda: self._reserve_redirect(budget, req),
@@ -141,9 +149,14 @@
         left_s = deadline - asyncio.get_running_loop().time()
         await self.fetch_endpoints(service, max(0.0, min(FETCH_TIMEOUT_S, left_s)))
 
+    def _may_retry(self, budget, reason, proven):
+        if not proven and not self._rules.uses(Mechanism.RETRIES):
+            return False
+        return budget.may_retry(asyncio.get_running_loop().time(), reason, proven)
+
     def _reserve_redirect(self, budget, req):
         """Reserve a redirect for a request that goes to its agent in one message."""
-        if not goes_inline(req):
+        if not goes_inline(req) or not self._rules.uses(Mechanism.BUSY_MOVES):
             return None
         if budget.redirects_are_free:
             return lambda: None
@@ -175,6 +188,7 @@
             self._rng,
             tried,
             trial_share=trial_share,
+            skip=self._skipped,
             only_healthy=self._rules.gates_told and not work.idempotent,
             may_try=work.idempotent and not tried,
             only=only,
@@ -249,7 +263,8 @@
         An idempotent request that straggles, by its age here or by word of the agent,
         gets a second attempt; the other one is cancelled.
         """
-        if not work.idempotent:
+        hedges = work.idempotent and self._rules.uses(Mechanism.SECOND_ATTEMPTS)
+        if not hedges:
             return stream, await stream.next_reply()
         msg = None
         delay_s = self._hedging.delay_s(work.service, work.route, work.objective_s)
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -16,6 +16,7 @@
 from sanic.response import raw
 
 from dandelionarch.core.keyed_log import KeyedLog
+from dandelionarch.core.mechanisms import Mechanism, named
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.neighbours import Neighbours
 from dandelionarch.core.placement import is_follower
@@ -122,10 +123,16 @@
             Codec(CHANNELS),
         )
         self.network.subscribe(msgs.Leaving, self._on_leaving)
-        self.watch = GateWatch(self.directory, self.network.now)
+        off = named(self.settings.mechanisms.off)
+        self.watch = GateWatch(self.directory, self.network.now, off=off)
         self._neighbours = Neighbours(self.vm, self.directory)
         self.agent = Agent(
-            self.network, self.directory, self.vm_id, self.watch, self._platform.dialect
+            self.network,
+            self.directory,
+            self.vm_id,
+            self.watch,
+            self._platform.dialect,
+            off,
         )
         self.watch.on_change = self._on_health
         self.watch.on_invite = self._invite
@@ -145,9 +152,10 @@
                 in_reach=self._in_reach,
                 make_budget=self._make_budget,
                 gates_told=True,
-                retries_lent=True,
+                retries_lent=Mechanism.RETRY_LOANS not in off,
                 busy_moves=BUSY_MOVES,
-                parks=True,
+                parks=Mechanism.PARKING not in off,
+                off=off,
             ),
         )
         self.http = IngressHttp(
--- a/dandelionarch/daemon/settings.py
+++ b/dandelionarch/daemon/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Meta
 
+from dandelionarch.core.mechanisms import NAMES
 from dandelionarch.errors import SettingsError
 
 # Left of the time until a process is killed for closing its sockets.
@@ -131,6 +132,14 @@
     window_s: Annotated[float, Meta(ge=1, le=3600)] = 10.0
 
 
+class MechanismsSection(_Section):
+    """`[mechanisms]`: what is switched off, by names separated by commas."""
+
+    off: Annotated[
+        str, Meta(pattern=rf"^(({'|'.join(NAMES)})(, ?({'|'.join(NAMES)}))*)?$")
+    ] = ""
+
+
 class LogSection(_Section):
     """`[log]`: how long the platform's log keeps records.
 
@@ -198,6 +207,7 @@
     endpoint: EndpointSection = EndpointSection()
     store: StoreSection
     retries: RetriesSection = RetriesSection()
+    mechanisms: MechanismsSection = MechanismsSection()
     stop: StopSection = StopSection()
     limits: LimitsSection = LimitsSection()
     logs: LogsSection = LogsSection()
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -8,6 +8,7 @@
 from abc import ABC, abstractmethod
 
 from dandelionarch.core.gate import EndpointGate, RunResult
+from dandelionarch.core.mechanisms import Mechanism
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.stalls import StallDetector
 from dandelionarch.core.trials import TrialInviter
@@ -94,6 +95,8 @@
     now : callable
         Returns the monotonic time in seconds.
     rng : random.Random, optional
+    off : set of Mechanism, optional
+        What is switched off.
 
     `on_change(endpoint)` is called with an endpoint whose health has changed, and
     `on_invite(endpoint_id, link)` to ask one of the `peers()` for a trial.
@@ -101,8 +104,9 @@
     `survival(endpoint_id, route, age_s)`, the share of runs that take longer.
     """
 
-    def __init__(self, directory, now, rng=None):
+    def __init__(self, directory, now, rng=None, off=frozenset()):
         super().__init__(directory)
+        self._off = off
         self._now = now
         self._rng = rng or random.Random()
         self._inviters = {}
@@ -119,8 +123,10 @@
         """Look for hangs and invite trials of closed gates until cancelled."""
         while True:
             await asyncio.sleep(CHECK_PERIOD_S)
-            self.check_stalls()
-            self.invite()
+            if Mechanism.HANGS not in self._off:
+                self.check_stalls()
+            if Mechanism.TRIAL_INVITES not in self._off:
+                self.invite()
 
     def check_stalls(self):
         """Close the gates of endpoints that have stopped answering."""
@@ -144,6 +150,8 @@
             self.on_straggler(run)
 
     def risk_s(self, endpoint):
+        if Mechanism.FRESH_ENDPOINTS in self._off:
+            return 0.0
         return self._stalls_of(endpoint).risk_s(self._now())
 
     def _stalls_of(self, endpoint):
@@ -182,9 +190,13 @@
         return inviter
 
     def marked(self, endpoint):
+        if Mechanism.GATES in self._off:
+            return dataclasses.replace(endpoint, health=Health.HEALTHY)
         return dataclasses.replace(endpoint, health=self._gate(endpoint).health)
 
     def admits(self, endpoint, idempotent):
+        if Mechanism.GATES in self._off:
+            return True
         return self._gate(endpoint).admits(idempotent, self._now())
 
     def admitted(self, endpoint, run):
@@ -225,6 +237,8 @@
 
     def _is_shared(self, endpoint):
         """Return True if many other endpoints of the service are unhealthy too."""
+        if Mechanism.SHARED_CAUSES in self._off:
+            return False
         others = [
             other
             for other in self._directory.endpoints_of(endpoint.service)
