--- a/dandelionarch/core/costs.py
+++ b/dandelionarch/core/costs.py
@@ -34,6 +34,16 @@
             oldest = self._by_age.popleft()
             del self.sorted[bisect_left(self.sorted, oldest)]
 
+    def survival(self, elapsed_s):
+        """Return which share of the times is longer, or None if there are too few.
+
+        It is never 0: a sample of 20 does not show what happens once in 100 runs.
+        """
+        if len(self.sorted) < MIN_SURVIVAL_SAMPLES:
+            return None
+        longer = len(self.sorted) - bisect_left(self.sorted, elapsed_s)
+        return (longer + 0.5) / (len(self.sorted) + 1)
+
 
 class CostEstimate:
     """Exponentially weighted mean and variance of the logarithm of a service time."""
@@ -61,13 +71,9 @@
     def survival(self, elapsed_s):
         """Return which share of runs takes longer, or None of too few samples.
 
-        It is never 0: a sample of 20 does not show what happens once in 100 runs.
+        See `RecentTimes.survival`.
         """
-        times = self._recent.sorted
-        if len(times) < MIN_SURVIVAL_SAMPLES:
-            return None
-        longer = len(times) - bisect_left(times, elapsed_s)
-        return (longer + 0.5) / (len(times) + 1)
+        return self._recent.survival(elapsed_s)
 
     @property
     def high_s(self):
@@ -143,9 +149,13 @@
         return estimate.residual_s(elapsed_s)
 
     def survival(self, key, elapsed_s):
-        """Return which share of a kind of work's runs takes longer, or None."""
+        """Return which share of a kind of work's runs takes longer, or None.
+
+        A kind that is hardly known is taken for an average one of the service.
+        """
         estimate = self._estimates.get(key)
-        return None if estimate is None else estimate.survival(elapsed_s)
+        share = None if estimate is None else estimate.survival(elapsed_s)
+        return self._recent.survival(elapsed_s) if share is None else share
 
     def is_long(self, key):
         """Return True if the cost is above 4 times the median of the service."""
--- a/dandelionarch/core/stalls.py
+++ b/dandelionarch/core/stalls.py
@@ -134,7 +134,7 @@
         ]
 
     def is_overdue(self, run, now):
-        """Return True if a run at an endpoint in doubt is taken for hung.
+        """Return True if a run has taken so long that hardly any of its kind would.
 
         Where the usual time of its kind of work is not known yet, a share of the run's
         own time budget stands for it.
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -29,6 +29,7 @@
     Reason.DEADLINE: RunResult.APPLICATION_ERROR,
     Reason.WORKER_SILENT: RunResult.APPLICATION_ERROR,
 }
+TIMEOUTS = frozenset({Reason.DEADLINE, Reason.WORKER_SILENT})
 # Work that fails at most of a service's endpoints points to a shared cause, such as a
 # service that they all call; closing more gates would only take capacity away. A third
 # may well be in failing spells of their own.
@@ -216,10 +217,14 @@
             stalls.ended(run, status < SERVER_ERROR, self._now())
 
     def ended(self, endpoint, run, reason, kind):
-        stalls = self._stalls.get(endpoint.endpoint_id)
-        if stalls is not None:
-            stalls.ended(run, answered=False, now=self._now())
+        now = self._now()
+        stalls = self._stalls_of(endpoint)
+        overdue = stalls.is_overdue(run, now)
+        stalls.ended(run, answered=False, now=now)
         result = self._result(run, reason)
+        if reason in TIMEOUTS and not overdue:
+            # The caller had less time than the work takes.
+            result = RunResult.INCONCLUSIVE
         if result is RunResult.APPLICATION_ERROR and self._is_shared(endpoint):
             result = RunResult.INCONCLUSIVE
         self._gate(endpoint).ended(run, result, self._now())
--- a/tests/test_hung_trials.py
+++ b/tests/test_hung_trials.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from dandelionarch.core.admission import CostQueue
+from dandelionarch.core.costs import CostModel
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.gate import EndpointGate, RunResult
 from dandelionarch.core.outcome import Reason
@@ -137,3 +138,43 @@
         for n in range(7):
             queue.finish(n, BUDGET_S, answered=False)
         assert queue.offer("trial", 6.0, "status", 6.0 + BUDGET_S / 2) == "run"
+
+
+class TestShortBudgets:
+    """A caller that leaves less time than the work takes accuses nobody.
+
+    Pattern: requests of a route with a short timeout, or with little left of their
+    deadlines, run at a sound endpoint beside ordinary work.
+    """
+
+    @staticmethod
+    def play(budget_s, work_s=0.9):
+        """Return whether orders are admitted after two timeouts of a new route."""
+        now = 0.0
+        directory = Directory()
+        directory.put_endpoint(ENDPOINT)
+        watch = GateWatch(directory, lambda: now)
+        costs = CostModel()
+        for _ in range(8):
+            costs.observe("status", work_s)
+        watch.survival = lambda endpoint_id, route, age_s: costs.survival(route, age_s)
+        for _ in range(2):
+            run = Run()
+            run.head = Head(route="new", budget_ms=int(1000 * budget_s))
+            watch.admitted(ENDPOINT, run)
+            watch.started(ENDPOINT, run, "kind")
+            now += budget_s
+            watch.ended(ENDPOINT, run, Reason.DEADLINE, "kind")
+        return watch.admits(ENDPOINT, idempotent=False)
+
+    def test_short_budgets_close_no_gate(self):
+        """Guards against a sound endpoint that is out for the whole of a crest.
+
+        On sntal-cl trouble-1 a request with 0.4 s left closed the gate of an endpoint
+        whose work takes 1 s, and 20 s of its capacity were lost.
+        """
+        assert self.play(budget_s=0.4)
+
+    def test_long_waits_in_vain_close_it(self):
+        """Guards against sending orders to an endpoint that answers nothing."""
+        assert not self.play(budget_s=5.0)
