Let idempotent work without an open endpoint try closed gates

Change: an ingress that knows no open endpoint says so, and the agent lets such idempotent work take half of the slots; it counts as trials. Orders are kept away, as they can't be repeated.

--- a/dandelionarch/core/gate.py
+++ b/dandelionarch/core/gate.py
@@ -20,6 +20,8 @@
 # A service may have no idempotent requests, or few; then other work is a trial once no
 # trial has failed for this long.
 ANY_TRIAL_AFTER_S = 5.0
+# Of the slots, for idempotent work that would find no endpoint otherwise.
+LAST_RESORT_SHARE = 0.5
 
 
 class RunResult(Enum):
@@ -30,54 +32,68 @@
     BROKEN = "broken"
     INCONCLUSIVE = "inconclusive"
     HUNG = "hung"
+    # The endpoint answered that something it called was too late.
+    WAITED = "waited"
 
 
 class EndpointGate:
     """Decides which requests an endpoint gets, by its last runs.
 
     Times are in seconds on one monotonic clock.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the endpoint runs at once.
     """
 
-    def __init__(self):
+    def __init__(self, slots=1):
         self._closed_at = None
         self._successes = 0
         self._errors = 0
-        self._trial_running = None
+        self._trials = set()
+        self._most_trials = max(1, int(LAST_RESORT_SHARE * slots))
         self._next_trial = 0.0
         self._interval_s = TRIAL_INTERVAL_S
         self._failed_at = 0.0
         self._hung = frozenset()
         self._given_up = set()
-        self._overdue_trial = None
+        self._overdue_trials = set()
 
     @property
     def health(self):
         """Return `HEALTHY`, or `TRIAL` while the gate is closed."""
         return Health.HEALTHY if self._closed_at is None else Health.TRIAL
 
-    def admits(self, idempotent, now):
-        """Return True if a request may go to the endpoint now."""
+    @property
+    def trials(self):
+        """Return the runs behind the closed gate."""
+        return tuple(self._trials)
+
+    def admits(self, idempotent, now, last_resort=False):
+        """Return True if a request may go to the endpoint now.
+
+        With `last_resort` its ingress knows no endpoint whose gate is open, so that a
+        doubtful one is better than none.
+        """
         if self._closed_at is None:
             return True
-        if self._trial_running is not None or now < self._next_trial:
+        if idempotent and last_resort and len(self._trials) < self._most_trials:
+            return True
+        if not self.wants_trial(now):
             return False
         return idempotent or now - self._failed_at >= ANY_TRIAL_AFTER_S
 
-    @property
-    def trial(self):
-        """Return the trial that runs behind the closed gate, or None."""
-        return self._trial_running
-
     def wants_trial(self, now):
         """Return True if the gate is closed and would let a trial in now."""
-        if self._closed_at is None or self._trial_running is not None:
+        if self._closed_at is None or self._trials:
             return False
         return now >= self._next_trial
 
     def began(self, run, now):
         """Take note that a request goes to the endpoint."""
-        if self._closed_at is not None and self._trial_running is None:
-            self._trial_running = run
+        if self._closed_at is not None:
+            self._trials.add(run)
             self._next_trial = now + self._interval_s
 
     def stalled(self, runs, now):
@@ -90,23 +106,24 @@
         if self._closed_at is None:
             self._close(now, trial=False)
             self._hung = frozenset(runs)
-        elif self._trial_running is not None and self._trial_running in runs:
-            self._overdue_trial = self._trial_running
-            self._trial_running = None
+        elif overdue := self._trials.intersection(runs):
+            self._overdue_trials |= overdue
+            self._trials -= overdue
             self._close(now, trial=True)
 
     def ended(self, run, result, now):
         """Take note of the end of a run."""
-        if run in self._hung and result is RunResult.SERVED:
+        answers = result in (RunResult.SERVED, RunResult.WAITED)
+        if run in self._hung and answers:
             # It was a straggler: what closed the gate has proved wrong.
             self._open()
         given_up = run in self._given_up
         self._given_up.discard(run)
+        trial = run in self._trials or run in self._overdue_trials
+        self._trials.discard(run)
+        self._overdue_trials.discard(run)
         if given_up and result is not RunResult.SERVED:
             return
-        trial = run in (self._trial_running, self._overdue_trial)
-        if run is self._trial_running:
-            self._trial_running = None
         if result is RunResult.SERVED:
             self._served(trial)
         elif result is RunResult.BROKEN:
@@ -116,7 +133,7 @@
             if trial or self._errors >= ERRORS_TO_CLOSE:
                 self._close(now, trial)
         elif trial:
-            # Its caller has left, so nothing is known yet.
+            # Nothing is known yet, for one as its caller has left.
             self._next_trial = now
 
     def _served(self, trial):
@@ -132,6 +149,7 @@
         self._closed_at = None
         self._interval_s = TRIAL_INTERVAL_S
         self._hung = frozenset()
+        self._trials.clear()
 
     def _close(self, now, trial):
         self._successes = 0
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -17,7 +17,8 @@
 
     `budget_ms` is the time that remains, counted from receipt. Without `may_wait` the
     agent may refuse the request as busy, as the ingress will try another endpoint.
-    `repeats` says that another endpoint may have got the request before.
+    `repeats` says that another endpoint may have got the request before, `last_resort`
+    that the ingress knows no endpoint whose gate is open.
     """
 
     attempt_id: int
@@ -36,6 +37,7 @@
     last: bool
     may_wait: bool
     repeats: bool = False
+    last_resort: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -83,11 +83,15 @@
 
 @dataclass(slots=True)
 class Decision:
-    """The endpoint chosen, or None, and how it came about."""
+    """The endpoint chosen, or None, and how it came about.
+
+    `last_resort` says that no endpoint was known that takes all work.
+    """
 
     chosen: object = None
     candidates: list = field(default_factory=list)
     drops: list = field(default_factory=list)
+    last_resort: bool = False
 
 
 def serving(candidates, drops):
@@ -308,7 +312,7 @@
     stream = serving(candidates, drops)
     stream = links_within_floor(stream, drops, floor_share)
     stream = named(stream, drops, only)
-    stream = list(not_tried(stream, drops, tried))
+    stream = reachable = list(not_tried(stream, drops, tried))
     if "age_reports" not in skip:
         age_reports(stream)
     stream = not_ejected(stream, drops)
@@ -322,6 +326,8 @@
     if "near_first" not in skip:
         stream = near_first(stream, drops)
     kept = list(stream)
+    healthy = Health.HEALTHY
+    decision.last_resort = not any(c.health is healthy for c in reachable)
     if kept:
         decision.chosen = policy.choose(kept, rng)
     return decision
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -183,7 +183,8 @@
             return Reason.UNKNOWN_ENDPOINT
         if local.endpoint.state not in (EndpointState.READY, EndpointState.STARTING):
             return Reason.DRAINING
-        if not self._watch.admits(local.endpoint, head.idempotent):
+        admits = self._watch.admits
+        if not admits(local.endpoint, head.idempotent, head.last_resort):
             return Reason.EJECTED
         may_move = not head.may_wait and not head.idempotent
         if may_move and self._watch.risk_s(local.endpoint):
--- a/dandelionarch/daemon/health.py
+++ b/dandelionarch/daemon/health.py
@@ -80,7 +80,7 @@
         """Return an endpoint of this VM with its present health."""
         return dataclasses.replace(endpoint, health=self._state(endpoint).health)
 
-    def admits(self, endpoint, idempotent):
+    def admits(self, endpoint, idempotent, last_resort=False):
         """Return False if the endpoint is ejected and this is no trial."""
         return self._state(endpoint).admits(idempotent)
 
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -199,14 +199,13 @@
         endpoint = command.endpoint
         self.decisions.chosen(work, command)
         stream = None
-        may_wait, repeats = command.may_wait, command.repeats
-        command, ended = None, False
+        dispatch, command, ended = command, None, False
         try:
             async with asyncio.timeout_at(life.deadline):
                 link = await self._network.link(endpoint.vm_id)
                 stream = self._open(endpoint, link)
                 budget_s = life.deadline - loop.time()
-                self._send_request(stream, work, req, budget_s, may_wait, repeats)
+                self._send_request(stream, work, req, dispatch, budget_s)
                 life.sent()
                 stream, msg = await self._first_reply(life, work, req, stream)
                 command, ended = await self._await_answer(life, stream, msg)
@@ -232,7 +231,7 @@
         link.begin()
         return stream
 
-    def _send_request(self, stream, work, req, budget_s, may_wait, repeats):
+    def _send_request(self, stream, work, req, command, budget_s):
         inline = goes_inline(req)
         stream.link.send(
             msgs.RequestHead(
@@ -250,8 +249,9 @@
                 req.headers,
                 req.body if inline else b"",
                 inline,
-                may_wait,
-                repeats,
+                command.may_wait,
+                command.repeats,
+                command.decision.last_resort,
             )
         )
         if not inline:
@@ -300,7 +300,7 @@
                 return None
             stream = self._open(endpoint, await self._network.link(endpoint.vm_id))
             budget_s = life.deadline - loop.time()
-            self._send_request(stream, work, req, budget_s, True, command.repeats)
+            self._send_request(stream, work, req, command, budget_s)
         except LinkError:
             if stream is not None:
                 self.close(stream, cancel=False)
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -49,8 +49,11 @@
         """Return an endpoint of this VM with its present health."""
 
     @abstractmethod
-    def admits(self, endpoint, idempotent):
-        """Return True if a request may go to the endpoint."""
+    def admits(self, endpoint, idempotent, last_resort=False):
+        """Return True if a request may go to the endpoint.
+
+        With `last_resort` its ingress knows no better one.
+        """
 
     def asked(self, endpoint, link, idempotent):
         """Take note of a request over a link, whether it is let in or not."""
@@ -140,9 +143,10 @@
                 continue
             if stalls.is_suspect(now):
                 self._stalled(endpoint, stalls, stalls.hung_runs(now))
-            trial = self._gate(endpoint).trial
-            if trial is not None and stalls.is_overdue(trial, now):
-                self._stalled(endpoint, stalls, [trial])
+            trials = self._gate(endpoint).trials
+            overdue = [run for run in trials if stalls.is_overdue(run, now)]
+            if overdue:
+                self._stalled(endpoint, stalls, overdue)
 
     def _stalled(self, endpoint, stalls, hung):
         if not self._is_shared(endpoint):
@@ -196,10 +200,10 @@
             return dataclasses.replace(endpoint, health=Health.HEALTHY)
         return dataclasses.replace(endpoint, health=self._gate(endpoint).health)
 
-    def admits(self, endpoint, idempotent):
+    def admits(self, endpoint, idempotent, last_resort=False):
         if Mechanism.GATES in self._off:
             return True
-        return self._gate(endpoint).admits(idempotent, self._now())
+        return self._gate(endpoint).admits(idempotent, self._now(), last_resort)
 
     def admitted(self, endpoint, run):
         self._gate(endpoint).began(run, self._now())
@@ -214,7 +218,8 @@
         self._statuses[run] = status
         stalls = self._stalls.get(endpoint.endpoint_id)
         if stalls is not None:
-            stalls.ended(run, status < SERVER_ERROR, self._now())
+            # Whoever answers anything has not stopped answering.
+            stalls.ended(run, True, self._now())
 
     def ended(self, endpoint, run, reason, kind):
         now = self._now()
@@ -235,8 +240,10 @@
         status = self._statuses.pop(run, None)
         if reason is not None:
             return RESULTS.get(reason, RunResult.INCONCLUSIVE)
-        if status is None or status == GATEWAY_TIMEOUT:
+        if status is None:
             return RunResult.INCONCLUSIVE
+        if status == GATEWAY_TIMEOUT:
+            return RunResult.WAITED
         if status >= SERVER_ERROR:
             return RunResult.APPLICATION_ERROR
         return RunResult.SERVED
@@ -257,7 +264,7 @@
         started = endpoint.incarnation
         known, gate = self._gates.get(endpoint.endpoint_id, (None, None))
         if gate is None or not same_start(known, started):
-            known, gate = started, EndpointGate()
+            known, gate = started, EndpointGate(endpoint.slots)
         # A start that was unknown is the lowest number there is.
         self._gates[endpoint.endpoint_id] = (max(known, started), gate)
         return gate
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -31,6 +31,7 @@
   last @13 :Bool;
   mayWait @14 :Bool;
   repeats @15 :Bool;
+  lastResort @16 :Bool;
 }
 
 struct RequestChunk {
