--- a/dandelionarch/core/gate.py
+++ b/dandelionarch/core/gate.py
@@ -32,8 +32,6 @@
     BROKEN = "broken"
     INCONCLUSIVE = "inconclusive"
     HUNG = "hung"
-    # The endpoint answered that something it called was too late.
-    WAITED = "waited"
 
 
 class EndpointGate:
@@ -113,8 +111,7 @@
 
     def ended(self, run, result, now):
         """Take note of the end of a run."""
-        answers = result in (RunResult.SERVED, RunResult.WAITED)
-        if run in self._hung and answers:
+        if run in self._hung and result is RunResult.SERVED:
             # It was a straggler: what closed the gate has proved wrong.
             self._open()
         given_up = run in self._given_up
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -218,8 +218,9 @@
         self._statuses[run] = status
         stalls = self._stalls.get(endpoint.endpoint_id)
         if stalls is not None:
-            # Whoever answers anything has not stopped answering.
-            stalls.ended(run, True, self._now())
+            # A hung run ends with a 504 at its deadline; any other answer is a sign of
+            # life.
+            stalls.ended(run, status != GATEWAY_TIMEOUT, self._now())
 
     def ended(self, endpoint, run, reason, kind):
         now = self._now()
@@ -240,10 +241,8 @@
         status = self._statuses.pop(run, None)
         if reason is not None:
             return RESULTS.get(reason, RunResult.INCONCLUSIVE)
-        if status is None:
+        if status is None or status == GATEWAY_TIMEOUT:
             return RunResult.INCONCLUSIVE
-        if status == GATEWAY_TIMEOUT:
-            return RunResult.WAITED
         if status >= SERVER_ERROR:
             return RunResult.APPLICATION_ERROR
         return RunResult.SERVED
--- a/tests/test_hung_trials.py
+++ b/tests/test_hung_trials.py
@@ -224,13 +224,21 @@
             gate.ended(run, RunResult.SERVED, 0.5)
         assert gate.admits(idempotent=False, now=0.5)
 
-    def test_late_calls_are_no_hang(self):
-        """Guards against a gate that stays closed as another service is late.
+    def test_gateway_timeout_is_no_sign_of_life(self):
+        """Guards against a gate that a hung run opens at its deadline.
 
-        An endpoint that answers 504 waited for what it called.
+        An endpoint that hangs answers 504 once the time that it was given is over. On
+        sntal-cl trouble-1 (seed 11) 0.75 were served from 8 to 10 s, 0.92 without.
         """
-        gate, run = EndpointGate(self.SLOTS), object()
-        gate.began(run, 0.0)
-        gate.stalled([run], 2.0)
-        gate.ended(run, RunResult.WAITED, 5.0)
-        assert gate.admits(idempotent=False, now=5.0)
+        directory = Directory()
+        directory.put_endpoint(ENDPOINT)
+        watch = GateWatch(directory, lambda: 5.0)
+        watch.survival = lambda endpoint_id, route, age_s: 0.01
+        for _ in range(2):
+            run = Run()
+            watch.admitted(ENDPOINT, run)
+            watch.started(ENDPOINT, run, "kind")
+            watch.answered(ENDPOINT, run, 504)
+            watch.ended(ENDPOINT, run, None, "kind")
+        watch.check_stalls()
+        assert not watch.admits(ENDPOINT, idempotent=False)
