Run an order only once its ingress has let it

Links to a VM that is cut off or has lost power stay open for 1.5 s.

Weighed: an acknowledgement by the agent at admission (leaves the wait in the queue in doubt); asking when a slot is free, as built: until the ingress has answered, nothing runs, and both sides may give up. Cost: a message each way per order, and a slot idle for a round trip.

The test of silent links now asks for more: the order is served, once, where it was told unknown before.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -181,6 +181,8 @@
         self._sent = False
         self._refused_at.add(self._current)
         self._least_s = retry_after_s
+        if reason in LINK_FAULTS:
+            self.tried.discard(self._current)
         if reason is Reason.WORKER_REFUSED:
             self._reach()
         if reason is Reason.BUSY and self._give_back is not None:
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -23,7 +23,8 @@
     which an answer is worth most. Without `may_wait` the
     agent may refuse the request as busy, as the ingress will try another endpoint.
     `repeats` says that another endpoint may have got the request before, `last_resort`
-    that the ingress knows no endpoint whose gate is open.
+    that the ingress knows no endpoint whose gate is open. With `confirms` the agent
+    announces a slot by `SlotReady` and runs the request only after `Start`.
     """
 
     attempt_id: int
@@ -44,6 +45,7 @@
     repeats: bool = False
     last_resort: bool = False
     objective_ms: int = NO_OBJECTIVE_MS
+    confirms: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,6 +166,20 @@
     attempt_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class SlotReady:
+    """The agent holds a slot for an attempt and waits for `Start`."""
+
+    attempt_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Start:
+    """The ingress lets an attempt run; before this it has not run."""
+
+    attempt_id: int
+
+
 MESSAGES = (
     RequestHead,
     RequestChunk,
@@ -179,4 +195,6 @@
     LoadNotice,
     TrialInvite,
     Straggling,
+    SlotReady,
+    Start,
 )
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -32,6 +32,9 @@
 # cancellation comes first, and nothing is learnt about the endpoint.
 DEADLINE_MARGIN_S = 0.02
 
+# A slot is idle meanwhile; an answer over a link takes milliseconds.
+CONFIRM_TIMEOUT_S = 0.5
+
 REFUSALS = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
 
 
@@ -78,6 +81,7 @@
         network.subscribe(msgs.RequestChunk, self._on_chunk)
         network.subscribe(msgs.Credit, self.on_credit)
         network.subscribe(msgs.Cancel, self._on_cancel)
+        network.subscribe(msgs.Start, self._on_start)
         network.on_lost(self._on_link_lost)
 
     async def start(self):
@@ -245,6 +249,11 @@
         if run is not None:
             run.task.cancel()
 
+    def _on_start(self, link, msg):
+        run = self._runs.get((link, msg.attempt_id))
+        if run is not None:
+            run.confirmed.set()
+
     def _on_link_lost(self, link):
         for (owner, _), run in list(self._runs.items()):
             if owner is link:
@@ -258,12 +267,27 @@
         try:
             async with asyncio.timeout_at(deadline):
                 await run.started.wait()
-            await self._call(run, local, deadline)
+            if not head.confirms or await self._is_confirmed(run):
+                await self._call(run, local, deadline)
+            else:
+                self._refuse(run, local, Reason.LINK_DOWN)
         except TimeoutError:
             self._refuse(run, local, Reason.TOO_LATE)
         except asyncio.CancelledError:
             event(log, "run_cancelled", request=head.request_id)
 
+    async def _is_confirmed(self, run):
+        """Return True if the ingress lets the attempt run.
+
+        One that has given the request up, or is out of reach, does not. Work that can't
+        be repeated is thus known not to have run whenever a link is lost earlier.
+        """
+        run.send(msgs.SlotReady(run.head.attempt_id))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                await run.confirmed.wait()
+        return run.confirmed.is_set()
+
     def _ended(self, run, local):
         run.link.end()
         self._watch.ended(local.endpoint, run, run.reason, run.head.kind)
--- a/dandelionarch/daemon/attempt.py
+++ b/dandelionarch/daemon/attempt.py
@@ -94,6 +94,21 @@
         self.window = WINDOW_BYTES
         self.window_open = asyncio.Event()
         self.sender = None
+        # With `on_start` the attempt runs only once the ingress has sent `Start`.
+        self.on_start = None
+        self.may_run = True
+
+    def confirm_start(self, on_start):
+        """Have the agent ask before it runs the attempt; then call `on_start()`."""
+        self.on_start = on_start
+        self.may_run = False
+
+    def let_run(self):
+        """Let the agent run the attempt."""
+        self.may_run = True
+        self.on_start()
+        with contextlib.suppress(LinkError):
+            self.link.send(msgs.Start(self.attempt_id))
 
     async def next_reply(self):
         """Return the next message that may end the attempt."""
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -68,6 +68,7 @@
         self.fetch_endpoints = None
         for cls in REPLIES:
             network.subscribe(cls, self._on_reply)
+        network.subscribe(msgs.SlotReady, self._on_slot_ready)
         network.subscribe(
             msgs.Credit,
             self._on_credit,
@@ -205,8 +206,12 @@
             async with asyncio.timeout_at(life.deadline):
                 link = await self._network.link(endpoint.vm_id)
                 stream = self._open(endpoint, link)
+                confirms = not work.idempotent and goes_inline(req)
+                if confirms:
+                    stream.confirm_start(life.sent)
                 self._send_request(stream, life, req, dispatch)
-                life.sent()
+                if not confirms:
+                    life.sent()
                 stream, msg = await self._first_reply(life, work, req, stream)
                 command, ended = await self._await_answer(life, stream, msg)
             if isinstance(command, Deliver):
@@ -257,6 +262,7 @@
                 command.repeats,
                 command.decision.last_resort,
                 objective_ms,
+                not stream.may_run,
             )
         )
         if not inline:
@@ -358,6 +364,8 @@
         if isinstance(msg, msgs.Failure):
             return life.failed(reason_of(msg), loop.time()), True
         if isinstance(msg, LinkLost):
+            if not stream.may_run:
+                return life.not_run(Reason.LINK_LOST, loop.time()), True
             return life.failed(Reason.LINK_LOST, loop.time()), True
         if isinstance(msg, CallerFault):
             life.caller_error = msg.error
@@ -425,6 +433,13 @@
             self._views.taken(stream.endpoint_id)
         stream.mailbox.put_nowait(msg)
 
+    def _on_slot_ready(self, link, msg):
+        """Let an attempt run unless it has been given up."""
+        stream = self._streams.get(msg.attempt_id)
+        if stream is not None and stream.link is link and not stream.may_run:
+            self._views.link_worked(link.vm_id)
+            stream.let_run()
+
     def _note_load(self, load):
         self._views.note_load(load)
         self.on_load(load)
--- a/dandelionarch/daemon/run.py
+++ b/dandelionarch/daemon/run.py
@@ -24,6 +24,7 @@
         self.window = WINDOW_BYTES
         self.window_open = asyncio.Event()
         self.started = asyncio.Event()
+        self.confirmed = asyncio.Event()
         self.answered = False
         self.reason = Reason.CANCELLED
         self.call = Call()
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -33,6 +33,7 @@
   repeats @15 :Bool;
   lastResort @16 :Bool;
   objectiveMs @17 :UInt32;
+  confirms @18 :Bool;
 }
 
 struct RequestChunk {
@@ -102,6 +103,14 @@
   attemptId @0 :UInt64;
 }
 
+struct SlotReady {
+  attemptId @0 :UInt64;
+}
+
+struct Start {
+  attemptId @0 :UInt64;
+}
+
 struct Envelope {
   union {
     requestHead @0 :RequestHead;
@@ -118,5 +127,7 @@
     loadNotice @11 :LoadNotice;
     trialInvite @12 :TrialInvite;
     straggling @13 :Straggling;
+    slotReady @14 :SlotReady;
+    start @15 :Start;
   }
 }
--- a/tests/test_agent_cancel.py
+++ b/tests/test_agent_cancel.py
@@ -6,7 +6,7 @@
 from dandelionarch.core.endpoint_reports import EndpointReport
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.world import Endpoint, EndpointState
-from dandelionarch.daemon.agent import Agent
+from dandelionarch.daemon.agent import CONFIRM_TIMEOUT_S, Agent
 from dandelionarch.daemon.health import HealthWatch
 from dandelionarch.daemon.local_endpoints import LocalEndpoints
 from dandelionarch.daemon.watch import GateWatch
@@ -43,7 +43,7 @@
         """Drop what goes to the peers."""
 
 
-def head(attempt_id, priority, may_wait=True):
+def head(attempt_id, priority, may_wait=True, **fields):
     """Return a request for the endpoint `w`."""
     return msgs.RequestHead(
         attempt_id,
@@ -61,6 +61,7 @@
         b"",
         True,
         may_wait,
+        **fields,
     )
 
 
@@ -136,3 +137,39 @@
     @staticmethod
     def _report(sequence, state):
         return EndpointReport("w", "s", "127.0.0.1", 9, 1, 1, sequence, state)
+
+
+class TestConfirmedStart:
+    """An order runs only once its ingress has let it.
+
+    Pattern: VMs lose power or are cut off, and for a second and more orders are sent
+    over links that nothing has closed yet.
+    """
+
+    def test_order_waits_for_its_ingress(self):
+        """Guards against orders that run although their ingress has given them up."""
+        refusals, running = asyncio.run(self._play(start=False))
+        assert [msg.reason for msg in refusals] == ["link_down"]
+        assert running == 0
+
+    def test_start_lets_it_run(self):
+        """Guards against an order that its ingress waits for in vain."""
+        refusals, running = asyncio.run(self._play(start=True))
+        assert [msg.reason for msg in refusals] == ["worker_unreachable"]
+        assert running == 0
+
+    @staticmethod
+    async def _play(start):
+        network, directory = FakeNetwork(), Directory()
+        directory.put_endpoint(Endpoint("w", "vm", "s", "127.0.0.1", 9, 1, 9, 1))
+        watch = HealthWatch(network, directory, "vm")
+        agent = Agent(network, directory, "vm", watch)
+        await agent.start()
+        network.receive(head(1, 0, confirms=True))
+        await asyncio.sleep(0.01)
+        assert network.sent == [msgs.SlotReady(1)]
+        if start:
+            network.receive(msgs.Start(1))
+        await asyncio.sleep(CONFIRM_TIMEOUT_S + 0.1)
+        await agent.stop()
+        return network.sent[1:], agent._endpoint("w").queue.running
--- a/tests/test_path_silence.py
+++ b/tests/test_path_silence.py
@@ -50,12 +50,11 @@
                 await asyncio.sleep(0.3)
                 relay.forward = relay.back = True
                 assert (await get).status == 200
-                resp = await post
-                assert resp.status == 502
-                assert (await resp.json())["title"] == "link_lost"
+                # The agent runs an order only once the ingress has let it.
+                assert (await post).status == 200
                 assert relay.accepted == 2
                 posts = [run for run in worker.runs if run["method"] == "POST"]
-                assert len(posts) <= 1
+                assert len(posts) == 1
                 await relay.stop()
 
     @fleet_test
