--- /dev/null
+++ b/dandelionarch/measure/paired.py
@@ -0,0 +1,94 @@
+"""Comparison of two versions by runs in pairs: the same load, the same seed.
+
+A difference within the spread of the pairs is no difference.
+"""
+
+import itertools
+import math
+import statistics
+from dataclasses import dataclass
+
+ALL = "all"
+
+
+@dataclass(frozen=True, slots=True)
+class RunResult:
+    """One run of a load; shares are from 0 to 1.
+
+    `worth` is what the run is worth by the users' measures, `broken` names the promises
+    that it broke.
+    """
+
+    load: str
+    seed: int
+    worth: float
+    served: float
+    refused: float
+    broken: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Comparison:
+    """The pairs of one load; `error` is the standard error of the mean difference."""
+
+    load: str
+    pairs: int
+    before: float
+    after: float
+    error: float
+    served_before: float
+    served_after: float
+    broken: tuple[str, ...]
+
+    @property
+    def difference(self):
+        """Return by how much the worth has changed."""
+        return self.after - self.before
+
+
+def pair(before, after):
+    """Yield (before, after) for the loads and seeds that both have."""
+    known = {(run.load, run.seed): run for run in after}
+    for run in sorted(before, key=lambda r: (r.load, r.seed)):
+        other = known.get((run.load, run.seed))
+        if other is not None:
+            yield run, other
+
+
+def compare(pairs):
+    """Yield a `Comparison` per load, and one of all."""
+    pairs = list(pairs)
+    for load, group in itertools.groupby(pairs, key=lambda p: p[0].load):
+        yield _comparison(load, list(group))
+    if pairs:
+        yield _comparison(ALL, pairs)
+
+
+def _comparison(load, pairs):
+    differences = [after.worth - before.worth for before, after in pairs]
+    error = math.nan
+    if len(pairs) > 1:
+        error = statistics.stdev(differences) / math.sqrt(len(pairs))
+    return Comparison(
+        load,
+        len(pairs),
+        statistics.mean(before.worth for before, _ in pairs),
+        statistics.mean(after.worth for _, after in pairs),
+        error,
+        statistics.mean(before.served for before, _ in pairs),
+        statistics.mean(after.served for _, after in pairs),
+        tuple(sorted({name for _, after in pairs for name in after.broken})),
+    )
+
+
+def table(comparisons):
+    """Yield the lines of a Markdown table."""
+    yield "| load | pairs | worth | difference | served | broken |"
+    yield "|---|---|---|---|---|---|"
+    for row in comparisons:
+        yield (
+            f"| {row.load} | {row.pairs} | {row.before:.3f} to {row.after:.3f} "
+            f"| {row.difference:+.3f} ± {row.error:.3f} "
+            f"| {row.served_before:.3f} to {row.served_after:.3f} "
+            f"| {', '.join(row.broken) or 'none'} |"
+        )
--- /dev/null
+++ b/dandelionarch/platform/bench.py
@@ -0,0 +1,90 @@
+"""Runs of the users' bench in pairs: plays days by seed, reads reports, compares."""
+
+import argparse
+import json
+import subprocess
+import sys
+from concurrent.futures import ThreadPoolExecutor
+from itertools import product
+from pathlib import Path
+
+from dandelionarch.measure.paired import RunResult, compare, pair, table
+
+
+def read_reports(directory):
+    """Yield a `RunResult` per report; files are named DAY-SEED.json."""
+    for path in sorted(Path(directory).glob("*.json")):
+        day, _, seed = path.stem.rpartition("-")
+        report = json.loads(path.read_text(encoding="utf-8"))
+        yield RunResult(
+            day,
+            int(seed),
+            # The bench names the worth of a day so.
+            report["G"],
+            report["served"],
+            report["refused"],
+            tuple(report["breaks"]),
+        )
+
+
+def play(cfg):
+    """Play each day with each seed on the sources in a directory.
+
+    Returns
+    -------
+    list of str
+        The runs that gave no report.
+    """
+    out = Path(cfg.out).absolute()
+    out.mkdir(parents=True, exist_ok=True)
+    runs = list(product(cfg.days.split(","), cfg.seeds.split(",")))
+    with ThreadPoolExecutor(cfg.jobs) as pool:
+        reports = list(pool.map(lambda run: _play_one(cfg, out, *run), runs))
+    return [path.stem for path in reports if not path.exists()]
+
+
+def _play_one(cfg, out, day, seed):
+    report = out / f"{day}-{seed}.json"
+    command = [cfg.bench, "run", cfg.site, day, "--seed", seed, "--jobs", "1"]
+    command += ["--no-cpu", "--report", str(report), "--why", cfg.why]
+    with open(out / f"{day}-{seed}.txt", "w", encoding="utf-8") as log:
+        subprocess.run(
+            command, cwd=cfg.sources, stdout=log, stderr=subprocess.STDOUT, check=False
+        )
+    return report
+
+
+def parse_args(args=None):
+    """Return the options of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m dandelionarch.platform.bench")
+    verbs = parser.add_subparsers(dest="verb", required=True)
+    runs = verbs.add_parser("play", help="play days with seeds and keep the reports")
+    runs.add_argument("--bench", required=True, help="path of the bench's program")
+    runs.add_argument("--site", required=True, help="path of the site file")
+    runs.add_argument("--sources", default=".", help="clone that is measured")
+    runs.add_argument("--days", required=True, help="names, separated by commas")
+    runs.add_argument("--seeds", required=True, help="numbers, separated by commas")
+    runs.add_argument("--jobs", type=int, default=3, help="runs at a time")
+    runs.add_argument("--why", required=True, help="a line for the journal")
+    runs.add_argument("out", help="directory for the reports")
+    pairs = verbs.add_parser("compare", help="print a table of two directories")
+    pairs.add_argument("before")
+    pairs.add_argument("after")
+    return parser.parse_args(args)
+
+
+def main(args=None):
+    """Run the command line and return the exit code."""
+    cfg = parse_args(args)
+    if cfg.verb == "play":
+        missing = play(cfg)
+        for run in missing:
+            print(f"no report: {run}", file=sys.stderr)
+        return 1 if missing else 0
+    pairs = pair(read_reports(cfg.before), read_reports(cfg.after))
+    print("\n".join(table(compare(pairs))))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
