--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -4,7 +4,7 @@
 from abc import ABC, abstractmethod
 from bisect import insort
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from dandelionarch.core.costs import CostModel
 from dandelionarch.core.mechanisms import Mechanism
@@ -49,7 +49,6 @@
         deadline=math.inf,
         priority=0,
         may_wait=True,
-        objective=math.inf,
     ):
         """Return "run", "wait", "busy" or "refuse" for a new request.
 
@@ -68,8 +67,6 @@
         may_wait : bool
             False if the ingress will try another endpoint on "busy", the refusal of
             a request that could wait here.
-        objective : float
-            Time in seconds by which an answer is worth most to its caller.
         """
 
     @abstractmethod
@@ -117,7 +114,6 @@
         deadline=math.inf,
         priority=0,
         may_wait=True,
-        objective=math.inf,
     ):
         if self.running < self.slots:
             self.running += 1
@@ -143,11 +139,7 @@
 
 @dataclass(slots=True, eq=False)
 class Job:
-    """A request with what the queue orders it by; seconds throughout.
-
-    `objective` is infinite without one, and once it can't be met any more; such a
-    request yields to all that can meet theirs.
-    """
+    """A request with what the queue orders it by; seconds throughout."""
 
     item: object
     key: object
@@ -158,19 +150,14 @@
     priority: int
     arrived: float
     sequence: int
-    objective: float = math.inf
     started: float = math.nan
-    order: tuple = ()
-
-    @property
-    def overdue(self):
-        """Return True if it can't meet an objective."""
-        return self.objective == math.inf
+    order: tuple = field(init=False)
 
-    @property
-    def planned_end(self):
-        """Return by when it is to end: the objective while that can be met."""
-        return min(self.objective, self.deadline)
+    def __post_init__(self):
+        # Ageing lowers every waiting request's cost at one rate, so the order of
+        # two requests never changes and a sorted list holds it.
+        aged = self.cost_s + AGEING_PER_S * self.arrived
+        self.order = (aged, self.deadline, self.sequence)
 
     def __lt__(self, other):
         return self.order < other.order
@@ -185,7 +172,6 @@
     ageing: bool = True
     refuse_late: bool = True
     priorities: bool = True
-    objectives: bool = True
 
     @classmethod
     def without(cls, off):
@@ -195,16 +181,14 @@
             short_slot=Mechanism.SHORT_SLOT not in off,
             refuse_late=Mechanism.LATE_REFUSALS not in off,
             priorities=Mechanism.PRIORITIES not in off,
-            objectives=Mechanism.OBJECTIVES not in off,
         )
 
 
 class CostQueue(AdmissionQueue):
     """Queue by cost and age that refuses at once what can't end in time.
 
-    A waiting request is given up only for one of a higher plan, or for one that can
-    still meet its objective if it can't itself; otherwise no request of the same plan
-    is admitted first and refused later.
+    A waiting request is given up only for one of a higher plan, so that no request
+    of the same plan is admitted first and refused later.
 
     Parameters
     ----------
@@ -242,9 +226,8 @@
         deadline=math.inf,
         priority=0,
         may_wait=True,
-        objective=math.inf,
     ):
-        job = self._job(item, now, key, deadline, priority, objective)
+        job = self._job(item, now, key, deadline, priority)
         if self._may_start(job):
             # A free slot is used unless the work most likely ends too late; a first
             # slow run must not lock its kind of work out for good.
@@ -253,12 +236,7 @@
             self._start(job, now)
             return "run"
         self._drop_late(now)
-        verdict = self._admit(job, now, may_wait)
-        if verdict == "refuse" and not job.overdue:
-            # What can't be in time may still be served before its deadline.
-            self._give_up_objective(job)
-            verdict = self._admit(job, now, may_wait)
-        return verdict
+        return self._admit(job, now, may_wait)
 
     def withdraw(self, item):
         job = self._by_item.pop(item, None)
@@ -286,37 +264,21 @@
         work_s += sum(self._remaining_s(job, now) for job in self._running.values())
         return max(RETRY_AFTER_MIN_S, work_s / self.slots)
 
-    def _job(self, item, now, key, deadline, priority, objective):
+    def _job(self, item, now, key, deadline, priority):
         self._sequence += 1
+        by_cost = self.rules.shortest_first
         cost_s = self.costs.cost(key)
         long = self.rules.short_slot and self.costs.is_long(key)
         high_s = self.costs.high(key)
-        if not self.rules.objectives or now + high_s > objective:
-            objective = math.inf
         job = Job(
-            item,
-            key,
-            cost_s,
-            high_s,
-            long,
-            deadline,
-            priority,
-            now,
-            self._sequence,
-            objective,
+            item, key, cost_s, high_s, long, deadline, priority, now, self._sequence
         )
-        job.order = self._order(job)
+        if not by_cost:
+            job.order = (now, self._sequence)
+        elif not self.rules.ageing:
+            job.order = (cost_s, deadline, self._sequence)
         return job
 
-    def _order(self, job):
-        """Return the key by which the queue is sorted."""
-        if not self.rules.shortest_first:
-            return (job.overdue, job.arrived, job.sequence)
-        # Ageing lowers every waiting request's cost at one rate, so the order of
-        # two requests never changes and a sorted list holds it.
-        aged = job.cost_s + self.rules.ageing * AGEING_PER_S * job.arrived
-        return (job.overdue, aged, job.deadline, job.sequence)
-
     def _may_start(self, job):
         if self.running >= self.slots:
             return False
@@ -340,19 +302,9 @@
     def _drop_late(self, now):
         if not self.rules.refuse_late:
             return
-        for job in [j for j in self._waiting if now + j.high_s > j.planned_end]:
+        for job in [j for j in self._waiting if now + j.high_s > j.deadline]:
             self.withdraw(job.item)
-            if now + job.high_s > job.deadline:
-                self._evicted.append(job.item)
-            else:
-                self._give_up_objective(job)
-                insort(self._waiting, job)
-                self._by_item[job.item] = job
-
-    def _give_up_objective(self, job):
-        """Put a request that can't meet its objective behind all that can."""
-        job.objective = math.inf
-        job.order = self._order(job)
+            self._evicted.append(job.item)
 
     def _admit(self, new, now, may_wait):
         """Let a request wait if room can be made for it; return the verdict."""
@@ -387,10 +339,10 @@
         return min(waiting.index(job) for job in late) + 1
 
     def _least(self, jobs, new):
-        """Return the request to give up: overdue, of the lowest plan, the new one."""
+        """Return the request to give up: of the lowest plan, the new one first."""
         if not self.rules.priorities:
             return new
-        return max(jobs, key=lambda j: (j.overdue, j.priority, j is new, j.sequence))
+        return max(jobs, key=lambda j: (j.priority, j is new, j.sequence))
 
     def _late(self, waiting, now):
         """Return which of the waiting requests would end after their deadlines."""
@@ -417,7 +369,7 @@
                 start = long_then[-self._open_to_long]
             end = start + job.cost_s
             latest = now + WAIT_MARGIN * (start - now) + job.high_s
-            if self.rules.refuse_late and latest > job.planned_end:
+            if self.rules.refuse_late and latest > job.deadline:
                 continue
             starts[job] = start
             free[free.index(max(t for t in free if t <= start))] = end
--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -126,7 +126,6 @@
     ):
         self.work = work
         self.deadline = deadline
-        self.objective = math.inf
         self.attempts = 0
         self._reached = 0
         self.tried = set()
@@ -155,7 +154,6 @@
 
     def start(self, now):
         """Return the first command."""
-        self.objective = now + self.work.objective_s
         if self._parks:
             self._park_until = now + PARK_SHARE * (self.deadline - now)
         return self._dispatch(Reason.NO_ENDPOINT, now)
--- a/dandelionarch/core/mechanisms.py
+++ b/dandelionarch/core/mechanisms.py
@@ -39,8 +39,6 @@
     SHORT_SLOT = "short_slot"
     # Refuse at once what would end after its deadline.
     LATE_REFUSALS = "late_refusals"
-    # Plan by the time within which an answer is worth most, before the deadline.
-    OBJECTIVES = "objectives"
     # Give up what waits for work of a higher priority.
     PRIORITIES = "priorities"
     # Count an endpoint that has just started as smaller.
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -11,16 +11,11 @@
     value: str
 
 
-# Stands for no objective; what is past is 0.
-NO_OBJECTIVE_MS = (1 << 32) - 1
-
-
 @dataclass(frozen=True, slots=True)
 class RequestHead:
     """Start of a request; `data` is the first part of its body.
 
-    `budget_ms` is the time that remains, counted from receipt, `objective_ms` that in
-    which an answer is worth most. Without `may_wait` the
+    `budget_ms` is the time that remains, counted from receipt. Without `may_wait` the
     agent may refuse the request as busy, as the ingress will try another endpoint.
     `repeats` says that another endpoint may have got the request before, `last_resort`
     that the ingress knows no endpoint whose gate is open. With `confirms` the agent
@@ -44,7 +39,6 @@
     may_wait: bool
     repeats: bool = False
     last_resort: bool = False
-    objective_ms: int = NO_OBJECTIVE_MS
     confirms: bool = False
 
 
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -162,13 +162,7 @@
             now = asyncio.get_running_loop().time()
             deadline = now + head.budget_ms / 1000
             verdict = local.queue.offer(
-                run,
-                now,
-                head.route,
-                deadline,
-                head.priority,
-                head.may_wait,
-                now + head.objective_ms / 1000,
+                run, now, head.route, deadline, head.priority, head.may_wait
             )
             self._refuse_evicted(local)
             reason = REFUSALS.get(verdict)
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import logging
-import math
 import random
 
 from dandelionarch.core.hedging import HedgeDelays
@@ -209,7 +208,8 @@
                 confirms = not work.idempotent and goes_inline(req)
                 if confirms:
                     stream.confirm_start(life.sent)
-                self._send_request(stream, life, req, dispatch)
+                budget_s = life.deadline - loop.time()
+                self._send_request(stream, work, req, dispatch, budget_s)
                 if not confirms:
                     life.sent()
                 stream, msg = await self._first_reply(life, work, req, stream)
@@ -236,12 +236,8 @@
         link.begin()
         return stream
 
-    def _send_request(self, stream, life, req, command):
-        work, inline = life.work, goes_inline(req)
-        now = asyncio.get_running_loop().time()
-        objective_ms = msgs.NO_OBJECTIVE_MS
-        if life.objective < math.inf:
-            objective_ms = max(0, int((life.objective - now) * 1000))
+    def _send_request(self, stream, work, req, command, budget_s):
+        inline = goes_inline(req)
         stream.link.send(
             msgs.RequestHead(
                 stream.attempt_id,
@@ -252,7 +248,7 @@
                 work.kind,
                 work.idempotent,
                 work.priority,
-                max(1, int((life.deadline - now) * 1000)),
+                max(1, int(budget_s * 1000)),
                 req.method,
                 req.target,
                 req.headers,
@@ -261,7 +257,6 @@
                 command.may_wait,
                 command.repeats,
                 command.decision.last_resort,
-                objective_ms,
                 not stream.may_run,
             )
         )
@@ -310,7 +305,8 @@
             if not self._network.is_up(endpoint.vm_id):
                 return None
             stream = self._open(endpoint, await self._network.link(endpoint.vm_id))
-            self._send_request(stream, life, req, command)
+            budget_s = life.deadline - loop.time()
+            self._send_request(stream, work, req, command, budget_s)
         except LinkError:
             if stream is not None:
                 self.close(stream, cancel=False)
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -32,8 +32,7 @@
   mayWait @14 :Bool;
   repeats @15 :Bool;
   lastResort @16 :Bool;
-  objectiveMs @17 :UInt32;
-  confirms @18 :Bool;
+  confirms @17 :Bool;
 }
 
 struct RequestChunk {
