--- a/dandelionarch/core/stalls.py
+++ b/dandelionarch/core/stalls.py
@@ -148,6 +148,14 @@
             return age_s >= OVERDUE_BUDGET_SHARE * known.budget_s
         return share <= HUNG_SHARE
 
+    def was_cut_short(self, run, now):
+        """Return True if a run is known to have had less time than most need."""
+        known = self._running.get(run)
+        if known is None:
+            return False
+        share = self._survival(known.key, now - known.started)
+        return share is not None and share > OLD_SHARE
+
     def untold(self, runs):
         """Return those of the runs that were not asked about before."""
         fresh = [run for run in runs if not self._running[run].told]
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -225,11 +225,10 @@
     def ended(self, endpoint, run, reason, kind):
         now = self._now()
         stalls = self._stalls_of(endpoint)
-        overdue = stalls.is_overdue(run, now)
+        cut_short = stalls.was_cut_short(run, now)
         stalls.ended(run, answered=False, now=now)
         result = self._result(run, reason)
-        if reason in TIMEOUTS and not overdue:
-            # The caller had less time than the work takes.
+        if reason in TIMEOUTS and cut_short:
             result = RunResult.INCONCLUSIVE
         if result is RunResult.APPLICATION_ERROR and self._is_shared(endpoint):
             result = RunResult.INCONCLUSIVE
