Judge trials by several times their usual time

Change: a trial has failed after three medians, one that was overtaken by a second attempt after two; nothing counts below 0.1 s.

--- a/dandelionarch/core/stalls.py
+++ b/dandelionarch/core/stalls.py
@@ -16,6 +16,12 @@
 OLD_SHARE = 0.5
 # A run that so few of its kind outlive is taken for hung once the endpoint is suspect.
 HUNG_SHARE = 0.1
+# A trial that takes so many times as long as half of its kind do has failed, one that
+# was given up, as another endpoint was faster, a little earlier.
+OVERDUE_MEDIANS = 3.0
+GIVEN_UP_MEDIANS = 2.0
+# Below this a delay may be the daemons' own.
+LEAST_AGE_S = 0.1
 # Callers' time budgets are some five times as long as the work takes.
 OVERDUE_BUDGET_SHARE = 0.3
 # Natural logarithms of likelihood ratios, hang against sound. The runs are weighed ten
@@ -133,20 +139,20 @@
             if self._share(known, now) <= HUNG_SHARE
         ]
 
-    def is_overdue(self, run, now):
-        """Return True if a run has taken so long that hardly any of its kind would.
+    def is_overdue(self, run, now, medians=OVERDUE_MEDIANS):
+        """Return True if a run has taken several times as long as half of its kind.
 
         Where the usual time of its kind of work is not known yet, a share of the run's
         own time budget stands for it.
         """
         known = self._running.get(run)
-        if known is None:
+        if known is None or now - known.started < LEAST_AGE_S:
             return False
         age_s = now - known.started
-        share = self._survival(known.key, age_s)
+        share = self._survival(known.key, age_s / medians)
         if share is None:
             return age_s >= OVERDUE_BUDGET_SHARE * known.budget_s
-        return share <= HUNG_SHARE
+        return share <= OLD_SHARE
 
     def was_cut_short(self, run, now):
         """Return True if a run is known to have had less time than most need."""
@@ -167,7 +173,8 @@
         return [r for r in self._running.values() if self._share(r, now) <= OLD_SHARE]
 
     def _share(self, known, now):
-        share = self._survival(known.key, now - known.started)
+        age_s = now - known.started
+        share = None if age_s < LEAST_AGE_S else self._survival(known.key, age_s)
         return 1.0 if share is None else share
 
     def _weight(self, known, now):
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -10,7 +10,7 @@
 from dandelionarch.core.gate import EndpointGate, RunResult
 from dandelionarch.core.mechanisms import Mechanism
 from dandelionarch.core.outcome import Reason
-from dandelionarch.core.stalls import StallDetector
+from dandelionarch.core.stalls import GIVEN_UP_MEDIANS, StallDetector
 from dandelionarch.core.trials import TrialInviter
 from dandelionarch.core.world import EndpointState, Health, same_start
 from dandelionarch.logs import event
@@ -146,12 +146,16 @@
             trials = self._gate(endpoint).trials
             overdue = [run for run in trials if stalls.is_overdue(run, now)]
             if overdue:
-                self._stalled(endpoint, stalls, overdue)
+                self._gate(endpoint).stalled(overdue, now)
+                self._tell(stalls, overdue)
 
     def _stalled(self, endpoint, stalls, hung):
         if not self._is_shared(endpoint):
             self._gate(endpoint).stalled(hung, self._now())
             self._show(endpoint, hung[0] if hung else None, RunResult.HUNG)
+        self._tell(stalls, hung)
+
+    def _tell(self, stalls, hung):
         for run in stalls.untold(hung):
             self.on_straggler(run)
 
@@ -226,13 +230,17 @@
         now = self._now()
         stalls = self._stalls_of(endpoint)
         cut_short = stalls.was_cut_short(run, now)
+        gate = self._gate(endpoint)
+        late = stalls.is_overdue(run, now, GIVEN_UP_MEDIANS)
+        if reason is Reason.CANCELLED and late and run in gate.trials:
+            gate.stalled([run], now)
         stalls.ended(run, answered=False, now=now)
         result = self._result(run, reason)
         if reason in TIMEOUTS and cut_short:
             result = RunResult.INCONCLUSIVE
         if result is RunResult.APPLICATION_ERROR and self._is_shared(endpoint):
             result = RunResult.INCONCLUSIVE
-        self._gate(endpoint).ended(run, result, self._now())
+        gate.ended(run, result, now)
         self._inviter(endpoint).trial_ended()
         self._show(endpoint, run, result)
 
