Split attempts and second attempts from the ingress

Attempts keeps the streams and matches replies, SecondAttempts waits for stragglers; behaviour is unchanged.

--- /dev/null
+++ b/dandelionarch/daemon/attempts.py
@@ -0,0 +1,127 @@
+"""The attempts that an ingress has under way, matched to replies by their ids."""
+
+import asyncio
+import contextlib
+import itertools
+import logging
+
+from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.outcome import Reason
+from dandelionarch.daemon.attempt import AttemptStream, LinkLost, goes_inline
+from dandelionarch.daemon.replies import REPLIES
+from dandelionarch.errors import LinkError
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+
+class Attempts:
+    """Sends attempts to agents and hands each reply to the attempt that it is for.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+    views : EndpointViews
+        Told of what the replies say of endpoints and links.
+    """
+
+    def __init__(self, network, views):
+        self._network = network
+        self._views = views
+        self._ids = itertools.count(1)
+        self._streams = {}
+        for cls in REPLIES:
+            network.subscribe(cls, self._on_reply)
+        network.subscribe(msgs.SlotReady, self._on_slot_ready)
+        network.on_lost(self._on_link_lost)
+
+    def open(self, endpoint, link):
+        """Return the `AttemptStream` of a new attempt."""
+        stream = AttemptStream(next(self._ids), endpoint.endpoint_id, link)
+        self._streams[stream.attempt_id] = stream
+        self._views.count(endpoint.endpoint_id, 1)
+        link.begin()
+        return stream
+
+    def send(self, stream, work, req, command, deadline):
+        """Send an attempt's request to its agent.
+
+        Raises
+        ------
+        LinkError
+            If no byte has left.
+        """
+        budget_s = deadline - asyncio.get_running_loop().time()
+        inline = goes_inline(req)
+        stream.link.send(
+            msgs.RequestHead(
+                stream.attempt_id,
+                work.request_id,
+                stream.endpoint_id,
+                work.service,
+                work.route,
+                work.kind,
+                work.idempotent,
+                work.priority,
+                max(1, int(budget_s * 1000)),
+                req.method,
+                req.target,
+                req.headers,
+                req.body if inline else b"",
+                inline,
+                command.may_wait,
+                command.repeats,
+                command.decision.last_resort,
+                not stream.may_run,
+            )
+        )
+        if not inline:
+            stream.sender = self._network.spawn(stream.send_body(req))
+
+    def close(self, stream, cancel):
+        """Forget an attempt; what still arrives for it is dropped."""
+        if self._streams.pop(stream.attempt_id, None) is None:
+            return
+        self._views.count(stream.endpoint_id, -1)
+        stream.link.end()
+        if stream.sender is not None:
+            stream.sender.cancel()
+        if cancel:
+            with contextlib.suppress(LinkError):
+                stream.link.send(msgs.Cancel(stream.attempt_id))
+
+    def credit(self, link, msg):
+        """Open the window of an attempt whose body is sent in parts."""
+        stream = self._streams.get(msg.attempt_id)
+        if stream is not None and stream.link is link:
+            stream.window += msg.size
+            stream.window_open.set()
+
+    def _on_reply(self, link, msg):
+        stream = self._streams.get(msg.attempt_id)
+        if stream is None or stream.link is not link:
+            event(log, "late_reply", attempt=msg.attempt_id, type=type(msg).__name__)
+            return
+        self._views.link_worked(link.vm_id)
+        load = getattr(msg, "load", None)
+        if load is not None and load.endpoint_id:
+            self._views.note_load(load)
+        if isinstance(msg, msgs.Refusal) and msg.reason != Reason.BUSY.value:
+            self._views.refused(stream.endpoint_id)
+        elif isinstance(msg, msgs.ResponseHead):
+            self._views.taken(stream.endpoint_id)
+        stream.mailbox.put_nowait(msg)
+
+    def _on_slot_ready(self, link, msg):
+        """Let an attempt run unless it has been given up."""
+        stream = self._streams.get(msg.attempt_id)
+        if stream is not None and stream.link is link and not stream.may_run:
+            self._views.link_worked(link.vm_id)
+            stream.let_run()
+
+    def _on_link_lost(self, link):
+        lost = [s for s in self._streams.values() if s.link is link]
+        for stream in lost:
+            stream.mailbox.put_nowait(LinkLost())
+        if lost:
+            self._views.link_failed(link.vm_id)
--- a/dandelionarch/daemon/endpoint_views.py
+++ b/dandelionarch/daemon/endpoint_views.py
@@ -75,6 +75,7 @@
         self._link_faults = LinkFaults()
         self._invites = TrialInvites()
         self._opened = asyncio.Event()
+        self.on_load = lambda report: None
 
     def candidates(self, service):
         """Return a `Candidate` for each endpoint of a service that is in reach."""
@@ -132,6 +133,7 @@
         self._loads[report.endpoint_id] = told
         if self._rules.gates_told:
             self._mark_health(report.endpoint_id, Health(report.health))
+        self.on_load(report)
 
     def _mark_health(self, endpoint_id, health):
         known = self._directory.endpoints.get(endpoint_id)
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -1,8 +1,6 @@
 """Ingress: drives the life of each request and owns its attempts."""
 
 import asyncio
-import contextlib
-import itertools
 import logging
 import random
 
@@ -15,15 +13,16 @@
 from dandelionarch.core.selection import TwoChoices, select
 from dandelionarch.daemon.attempt import (
     Answer,
-    AttemptStream,
     CallerFault,
     LinkLost,
     goes_inline,
 )
+from dandelionarch.daemon.attempts import Attempts
 from dandelionarch.daemon.decision_log import DecisionLog
 from dandelionarch.daemon.endpoint_views import EndpointViews, IngressRules
-from dandelionarch.daemon.replies import REPLIES, draws_on_budget, reason_of
+from dandelionarch.daemon.replies import draws_on_budget, reason_of
 from dandelionarch.daemon.retry_loans import RetryLoans
+from dandelionarch.daemon.second_attempts import SecondAttempts
 from dandelionarch.daemon.watch import SERVER_ERROR
 from dandelionarch.errors import CallerBodyError, LinkError
 from dandelionarch.logs import event
@@ -56,27 +55,23 @@
             for mechanism, stage in STAGES.items()
             if not self._rules.uses(mechanism)
         )
-        self._attempt_ids = itertools.count(1)
-        self._streams = {}
         self._views = EndpointViews(network, directory, self._rules)
+        self._attempts = Attempts(network, self._views)
         self._loans = None
         if self._rules.retries_lent:
             self._loans = RetryLoans(network, self._budget, self._rng)
         self.decisions = DecisionLog()
-        self.on_load = lambda load: None
+        self._second_attempts = SecondAttempts(
+            network, self._attempts, self._hedging, self.decisions, self._replenish
+        )
         self.fetch_endpoints = None
-        for cls in REPLIES:
-            network.subscribe(cls, self._on_reply)
-        network.subscribe(msgs.SlotReady, self._on_slot_ready)
+        network.subscribe(msgs.Credit, self._on_credit)
         network.subscribe(
-            msgs.Credit,
-            self._on_credit,
+            msgs.LoadNotice, lambda link, msg: self._views.note_load(msg.load)
         )
-        network.subscribe(msgs.LoadNotice, lambda link, msg: self._note_load(msg.load))
         network.subscribe(
             msgs.TrialInvite, lambda link, msg: self._views.invited(msg.endpoint_id)
         )
-        network.on_lost(self._on_link_lost)
 
     async def run(self, work, req, deadline):
         """Run one request to its end.
@@ -204,15 +199,14 @@
         try:
             async with asyncio.timeout_at(life.deadline):
                 link = await self._network.link(endpoint.vm_id)
-                stream = self._open(endpoint, link)
+                stream = self._attempts.open(endpoint, link)
                 confirms = not work.idempotent and goes_inline(req)
                 if confirms:
                     stream.confirm_start(life.sent)
-                budget_s = life.deadline - loop.time()
-                self._send_request(stream, work, req, dispatch, budget_s)
+                self._attempts.send(stream, work, req, dispatch, life.deadline)
                 if not confirms:
                     life.sent()
-                stream, msg = await self._first_reply(life, work, req, stream)
+                stream, msg = await self._first_reply(life, req, stream)
                 command, ended = await self._await_answer(life, stream, msg)
             if isinstance(command, Deliver):
                 delay_s = loop.time() - stream.began_s
@@ -227,127 +221,14 @@
         finally:
             streaming = isinstance(command, Deliver) and not life.answer.whole
             if stream is not None and not streaming:
-                self.close(stream, cancel=not ended)
-
-    def _open(self, endpoint, link):
-        stream = AttemptStream(next(self._attempt_ids), endpoint.endpoint_id, link)
-        self._streams[stream.attempt_id] = stream
-        self._views.count(endpoint.endpoint_id, 1)
-        link.begin()
-        return stream
-
-    def _send_request(self, stream, work, req, command, budget_s):
-        inline = goes_inline(req)
-        stream.link.send(
-            msgs.RequestHead(
-                stream.attempt_id,
-                work.request_id,
-                stream.endpoint_id,
-                work.service,
-                work.route,
-                work.kind,
-                work.idempotent,
-                work.priority,
-                max(1, int(budget_s * 1000)),
-                req.method,
-                req.target,
-                req.headers,
-                req.body if inline else b"",
-                inline,
-                command.may_wait,
-                command.repeats,
-                command.decision.last_resort,
-                not stream.may_run,
-            )
-        )
-        if not inline:
-            stream.sender = self._network.spawn(stream.send_body(req))
+                self._attempts.close(stream, cancel=not ended)
 
-    async def _first_reply(self, life, work, req, stream):
-        """Return the attempt that is answered first and its first message.
-
-        An idempotent request that straggles, by its age here or by word of the agent,
-        gets a second attempt; the other one is cancelled.
-        """
-        hedges = work.idempotent and self._rules.uses(Mechanism.SECOND_ATTEMPTS)
-        if not hedges:
-            return stream, await stream.next_reply()
-        msg = None
-        delay_s = self._hedging.delay_s(work.service, work.route, work.objective_s)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(delay_s):
-                msg = await stream.mailbox.get()
-        if msg is not None and not isinstance(msg, msgs.Straggling):
-            return stream, msg
-        second = await self._second_attempt(life, work, req)
-        if second is None:
-            return stream, await stream.next_reply()
-        return await self._race(life, work, req, stream, second)
-
-    async def _second_attempt(self, life, work, req):
-        """Return a further attempt on another endpoint, or None."""
-        loop = asyncio.get_running_loop()
-        await self._replenish(life, proven=False, hedge=True)
-        command = life.hedge(loop.time())
-        if command is None:
-            event(
-                log,
-                "second_attempt_refused",
-                request=work.request_id,
-                service=work.service,
-                attempts=life.attempts,
-            )
-            return None
-        self.decisions.chosen(work, command)
-        endpoint = command.endpoint
-        stream = None
-        try:
-            if not self._network.is_up(endpoint.vm_id):
-                return None
-            stream = self._open(endpoint, await self._network.link(endpoint.vm_id))
-            budget_s = life.deadline - loop.time()
-            self._send_request(stream, work, req, command, budget_s)
-        except LinkError:
-            if stream is not None:
-                self.close(stream, cancel=False)
-            return None
-        return stream
-
-    async def _race(self, life, work, req, first, second):
-        """Return the attempt that is answered, or fails last, and its message."""
-        gets = {
-            asyncio.ensure_future(stream.next_reply()): stream
-            for stream in (first, second)
-        }
-        kept = first
-        try:
-            while True:
-                done, _ = await asyncio.wait(gets, return_when=asyncio.FIRST_COMPLETED)
-                get = done.pop()
-                kept, msg = gets.pop(get), get.result()
-                if not gets:
-                    return kept, msg
-                if isinstance(msg, msgs.ResponseHead) and msg.status < SERVER_ERROR:
-                    life.one_reached()
-                    return kept, msg
-                # An error answer gives way to an attempt that still runs.
-                streams = isinstance(msg, msgs.ResponseHead) and not msg.last
-                self.close(kept, cancel=streams)
-                if not isinstance(msg, msgs.Refusal) or draws_on_budget(msg):
-                    life.one_reached()
-                elif kept is not first:
-                    another = await self._after_refusal(life, work, req)
-                    if another is not None:
-                        gets[asyncio.ensure_future(another.next_reply())] = another
-        finally:
-            for get, stream in gets.items():
-                get.cancel()
-                self.close(stream, cancel=True)
-
-    async def _after_refusal(self, life, work, req):
-        """Return another second attempt in place of one that was not run, or None."""
-        life.hedge_refused()
-        return await self._second_attempt(life, work, req)
+    async def _first_reply(self, life, req, stream):
+        """Return the attempt that is answered first and its first message."""
+        uses = self._rules.uses(Mechanism.SECOND_ATTEMPTS)
+        if life.work.idempotent and uses:
+            return await self._second_attempts.first_reply(life, req, stream)
+        return stream, await stream.next_reply()
 
     async def _await_answer(self, life, stream, msg):
         """Return (command, True if the agent has ended the attempt)."""
@@ -398,58 +279,15 @@
         if self._loans is not None and life.may_go_on(proven):
             await self._loans.replenish(life.work.service, hedge)
 
-    def close(self, stream, cancel):
-        """Forget an attempt; what still arrives for it is dropped."""
-        if self._streams.pop(stream.attempt_id, None) is None:
-            return
-        self._views.count(stream.endpoint_id, -1)
-        stream.link.end()
-        if stream.sender is not None:
-            stream.sender.cancel()
-        if cancel:
-            with contextlib.suppress(LinkError):
-                stream.link.send(msgs.Cancel(stream.attempt_id))
-
     def finish(self, answer):
         """End the attempt behind an answer that was streamed."""
-        self.close(answer.stream, cancel=True)
-
-    def _on_reply(self, link, msg):
-        stream = self._streams.get(msg.attempt_id)
-        if stream is None or stream.link is not link:
-            event(log, "late_reply", attempt=msg.attempt_id, type=type(msg).__name__)
-            return
-        self._views.link_worked(link.vm_id)
-        load = getattr(msg, "load", None)
-        if load is not None and load.endpoint_id:
-            self._note_load(load)
-        if isinstance(msg, msgs.Refusal) and msg.reason != Reason.BUSY.value:
-            self._views.refused(stream.endpoint_id)
-        elif isinstance(msg, msgs.ResponseHead):
-            self._views.taken(stream.endpoint_id)
-        stream.mailbox.put_nowait(msg)
-
-    def _on_slot_ready(self, link, msg):
-        """Let an attempt run unless it has been given up."""
-        stream = self._streams.get(msg.attempt_id)
-        if stream is not None and stream.link is link and not stream.may_run:
-            self._views.link_worked(link.vm_id)
-            stream.let_run()
+        self._attempts.close(answer.stream, cancel=True)
 
-    def _note_load(self, load):
-        self._views.note_load(load)
-        self.on_load(load)
+    def subscribe_load(self, handler):
+        """Have `handler(report)` called with each `LoadReport`."""
+        self._views.on_load = handler
 
     def _on_credit(self, link, msg):
-        stream = self._streams.get(msg.attempt_id)
-        if stream is not None and stream.link is link:
-            stream.window += msg.size
-            stream.window_open.set()
+        # Both roles of a daemon send bodies over the same link.
+        self._attempts.credit(link, msg)
         self._agent.on_credit(link, msg)
-
-    def _on_link_lost(self, link):
-        lost = [s for s in self._streams.values() if s.link is link]
-        for stream in lost:
-            stream.mailbox.put_nowait(LinkLost())
-        if lost:
-            self._views.link_failed(link.vm_id)
--- /dev/null
+++ b/dandelionarch/daemon/second_attempts.py
@@ -0,0 +1,119 @@
+"""Second attempts beside idempotent requests that straggle."""
+
+import asyncio
+import contextlib
+import logging
+
+from dandelionarch.core.messages import request as msgs
+from dandelionarch.daemon.replies import draws_on_budget
+from dandelionarch.daemon.watch import SERVER_ERROR
+from dandelionarch.errors import LinkError
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
+
+
+class SecondAttempts:
+    """Waits for an attempt's reply, and sends another attempt if that takes long.
+
+    Parameters
+    ----------
+    network : PeerNetwork
+    attempts : Attempts
+    delays : HedgeDelays
+    decisions : DecisionLog
+    replenish : callable
+        Coroutine function; `replenish(life, proven, hedge)` borrows a further attempt
+        if this ingress has none left.
+    """
+
+    def __init__(self, network, attempts, delays, decisions, replenish):
+        self._network = network
+        self._attempts = attempts
+        self._delays = delays
+        self._decisions = decisions
+        self._replenish = replenish
+
+    async def first_reply(self, life, req, stream):
+        """Return the attempt that is answered first and its first message.
+
+        An idempotent request that straggles, by its age here or by word of the agent,
+        gets a second attempt; the other one is cancelled.
+        """
+        work, msg = life.work, None
+        delay_s = self._delays.delay_s(work.service, work.route, work.objective_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(delay_s):
+                msg = await stream.mailbox.get()
+        if msg is not None and not isinstance(msg, msgs.Straggling):
+            return stream, msg
+        second = await self._second_attempt(life, req)
+        if second is None:
+            return stream, await stream.next_reply()
+        return await self._race(life, req, stream, second)
+
+    async def _second_attempt(self, life, req):
+        """Return a further attempt on another endpoint, or None."""
+        loop, work = asyncio.get_running_loop(), life.work
+        await self._replenish(life, proven=False, hedge=True)
+        command = life.hedge(loop.time())
+        if command is None:
+            event(
+                log,
+                "second_attempt_refused",
+                request=work.request_id,
+                service=work.service,
+                attempts=life.attempts,
+            )
+            return None
+        self._decisions.chosen(work, command)
+        endpoint = command.endpoint
+        stream = None
+        try:
+            if not self._network.is_up(endpoint.vm_id):
+                return None
+            stream = self._attempts.open(
+                endpoint, await self._network.link(endpoint.vm_id)
+            )
+            self._attempts.send(stream, work, req, command, life.deadline)
+        except LinkError:
+            if stream is not None:
+                self._attempts.close(stream, cancel=False)
+            return None
+        return stream
+
+    async def _race(self, life, req, first, second):
+        """Return the attempt that is answered, or fails last, and its message."""
+        gets = {
+            asyncio.ensure_future(stream.next_reply()): stream
+            for stream in (first, second)
+        }
+        kept = first
+        try:
+            while True:
+                done, _ = await asyncio.wait(gets, return_when=asyncio.FIRST_COMPLETED)
+                get = done.pop()
+                kept, msg = gets.pop(get), get.result()
+                if not gets:
+                    return kept, msg
+                if isinstance(msg, msgs.ResponseHead) and msg.status < SERVER_ERROR:
+                    life.one_reached()
+                    return kept, msg
+                # An error answer gives way to an attempt that still runs.
+                streams = isinstance(msg, msgs.ResponseHead) and not msg.last
+                self._attempts.close(kept, cancel=streams)
+                if not isinstance(msg, msgs.Refusal) or draws_on_budget(msg):
+                    life.one_reached()
+                elif kept is not first:
+                    another = await self._after_refusal(life, req)
+                    if another is not None:
+                        gets[asyncio.ensure_future(another.next_reply())] = another
+        finally:
+            for get, stream in gets.items():
+                get.cancel()
+                self._attempts.close(stream, cancel=True)
+
+    async def _after_refusal(self, life, req):
+        """Return another second attempt in place of one that was not run, or None."""
+        life.hedge_refused()
+        return await self._second_attempt(life, req)
