--- a/dandelionarch/core/retries.py
+++ b/dandelionarch/core/retries.py
@@ -198,6 +198,7 @@
         return super().may_retry(now, reason, proven) or self._use_loan(now)
 
     def reserve(self, now):
+        # Redirects are free here, so that only second attempts are reserved.
         self._expire(now)
         second = self._take(now, self._part(hedge=True))
         if second is not None:
@@ -223,6 +224,7 @@
         return self._take(now, self._part(hedge)) is not None
 
     def _part(self, hedge):
+        """Return how many further attempts, or second ones, the window may hold."""
         exact = self._exact()
         if hedge:
             exact = max(HEDGE_SHARE * exact, exact - self._failed.total)
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -228,22 +228,24 @@
 
     def ended(self, endpoint, run, reason, kind):
         now = self._now()
-        stalls = self._stalls_of(endpoint)
-        cut_short = stalls.was_cut_short(run, now)
-        gate = self._gate(endpoint)
-        late = stalls.is_overdue(run, now, GIVEN_UP_MEDIANS)
-        if reason is Reason.CANCELLED and late and run in gate.trials:
+        gate, stalls = self._gate(endpoint), self._stalls_of(endpoint)
+        if reason is Reason.CANCELLED and self._has_failed(gate, stalls, run):
             gate.stalled([run], now)
-        stalls.ended(run, answered=False, now=now)
         result = self._result(run, reason)
-        if reason in TIMEOUTS and cut_short:
+        if reason in TIMEOUTS and stalls.was_cut_short(run, now):
             result = RunResult.INCONCLUSIVE
         if result is RunResult.APPLICATION_ERROR and self._is_shared(endpoint):
             result = RunResult.INCONCLUSIVE
+        stalls.ended(run, answered=False, now=now)
         gate.ended(run, result, now)
         self._inviter(endpoint).trial_ended()
         self._show(endpoint, run, result)
 
+    def _has_failed(self, gate, stalls, run):
+        """Return True if a trial was late when another endpoint overtook it."""
+        late = stalls.is_overdue(run, self._now(), GIVEN_UP_MEDIANS)
+        return late and run in gate.trials
+
     def _result(self, run, reason):
         status = self._statuses.pop(run, None)
         if reason is not None:
