--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -249,10 +249,9 @@
         job = self._running.pop(item)
         self.running -= 1
         self._long_running -= job.long
-        elapsed_s = now - job.started
-        # A run that was given up early shows nothing.
-        if answered or elapsed_s > job.cost_s:
-            self.costs.observe(job.key, elapsed_s, answered)
+        if answered:
+            # A run that was given up shows how long its caller waited, not its cost.
+            self.costs.observe(job.key, now - job.started)
         return self._next(now)
 
     def take_evicted(self):
--- a/dandelionarch/core/costs.py
+++ b/dandelionarch/core/costs.py
@@ -34,10 +34,6 @@
             oldest = self._by_age.popleft()
             del self.sorted[bisect_left(self.sorted, oldest)]
 
-    def median(self):
-        """Return the median of the times in seconds, or None if there are none."""
-        return self.sorted[len(self.sorted) // 2] if self.sorted else None
-
     def survival(self, elapsed_s):
         """Return which share of the times is longer, or None if there are too few.
 
@@ -50,23 +46,15 @@
 
 
 class CostEstimate:
-    """For how long a kind of work holds a slot, and how long its answers take.
-
-    A run that is given up has held its slot as well. So the mean, which is that of a
-    log-normal distribution, and the tail are of all runs, while the median and the
-    survival function are of the answered ones alone.
-    """
+    """Exponentially weighted mean and variance of the logarithm of a service time."""
 
-    __slots__ = ("_answered", "_mean", "_recent", "_variance")
+    __slots__ = ("_mean", "_recent", "_variance")
 
-    def __init__(self, first_s, answered=True):
+    def __init__(self, first_s):
         self._mean = math.log(first_s)
         self._variance = 0.0
         self._recent = RecentTimes(RESIDUAL_WINDOW)
         self._recent.add(first_s)
-        self._answered = RecentTimes(RESIDUAL_WINDOW)
-        if answered:
-            self._answered.add(first_s)
 
     def residual_s(self, elapsed_s):
         """Return how much longer a run of this age took on average.
@@ -81,34 +69,33 @@
         return sum(longer) / len(longer) - elapsed_s
 
     def survival(self, elapsed_s):
-        """Return which share of answers takes longer, or None of too few samples.
+        """Return which share of runs takes longer, or None of too few samples.
 
         See `RecentTimes.survival`.
         """
-        return self._answered.survival(elapsed_s)
+        return self._recent.survival(elapsed_s)
 
     @property
     def high_s(self):
-        """Return the time in a slot that 19 of 20 recent runs did not exceed.
+        """Return the service time that 19 of 20 recent runs did not exceed.
 
         Of fewer runs one straggler would be the whole tail, so half as much again as
         the median bounds it.
         """
         times = self._recent.sorted
         if len(times) < MIN_TAIL_SAMPLES:
-            return min(times[-1], 1.5 * self._recent.median())
+            return min(times[-1], 1.5 * self.median_s)
         return times[int(0.95 * len(times))]
 
     @property
     def median_s(self):
-        """Return the median of the recent times until an answer, or None."""
-        return self._answered.median()
+        """Return the median of the recent service times."""
+        times = self._recent.sorted
+        return times[len(times) // 2]
 
-    def observe(self, seconds, answered=True):
-        """Take note of the time that one run held its slot."""
+    def observe(self, seconds):
+        """Take note of one service time."""
         self._recent.add(seconds)
-        if answered:
-            self._answered.add(seconds)
         deviation = math.log(seconds) - self._mean
         deviation = max(-MAX_DEVIATION, min(MAX_DEVIATION, deviation))
         self._mean += WEIGHT * deviation
@@ -116,7 +103,7 @@
 
     @property
     def seconds(self):
-        """Return the mean time in a slot."""
+        """Return the mean service time of the log-normal distribution that fits."""
         return math.exp(self._mean + self._variance / 2)
 
 
@@ -135,24 +122,24 @@
         self._recent = RecentTimes(MEDIAN_WINDOW)
 
     def cost(self, key):
-        """Return for how long a kind of work is expected to hold a slot, in seconds."""
+        """Return the expected service time of a kind of work in seconds."""
         estimate = self._estimates.get(key)
         return self._default_s if estimate is None else estimate.seconds
 
     def high(self, key):
-        """Return the 95th percentile of the time in a slot in seconds."""
+        """Return the 95th percentile of the service time in seconds."""
         estimate = self._estimates.get(key)
         return self._default_s if estimate is None else estimate.high_s
 
     def typical(self, key):
-        """Return the median time until an answer of a kind of work in seconds."""
+        """Return the median service time of a kind of work in seconds."""
         estimate = self._estimates.get(key)
-        median_s = None if estimate is None else estimate.median_s
-        return self._default_s if median_s is None else median_s
+        return self._default_s if estimate is None else estimate.median_s
 
     def median(self):
         """Return the median of the recent service times in seconds, or None."""
-        return self._recent.median()
+        times = self._recent.sorted
+        return times[len(times) // 2] if times else None
 
     def residual_s(self, key, elapsed_s):
         """Return how much longer a run of this age is expected to take, in seconds."""
@@ -171,17 +158,16 @@
         return self._recent.survival(elapsed_s) if share is None else share
 
     def is_long(self, key):
-        """Return True if its median is above 4 times that of the service."""
+        """Return True if the cost is above 4 times the median of the service."""
         median = self.median()
-        return median is not None and self.typical(key) > LONG_FACTOR * median
+        return median is not None and self.cost(key) > LONG_FACTOR * median
 
-    def observe(self, key, seconds, answered=True):
-        """Take note of the time that one run held its slot."""
+    def observe(self, key, seconds):
+        """Take note of the measured service time of one run."""
         seconds = max(seconds, 1e-6)
         estimate = self._estimates.get(key)
         if estimate is None:
-            self._estimates[key] = CostEstimate(seconds, answered)
+            self._estimates[key] = CostEstimate(seconds)
         else:
-            estimate.observe(seconds, answered)
-        if answered:
-            self._recent.add(seconds)
+            estimate.observe(seconds)
+        self._recent.add(seconds)
