--- a/tests/test_agent_cancel.py
+++ b/tests/test_agent_cancel.py
@@ -106,8 +106,8 @@
     def test_waiting_requests_are_refused_at_once(self):
         """Guards against work that reaches an endpoint long after it has left.
 
-        On sntal-cl scale-2 (seed 11) three orders that had waited were run 2.1 s after
-        the endpoint's leaving was acknowledged, where 2.0 s are allowed.
+        On sntal-cl scale-2 (seed 11) orders that had waited were run 2.1 s after the
+        endpoint's leaving was acknowledged, where 2.0 s are allowed.
         """
         asyncio.run(self._leave())
 
--- a/tests/test_hung_trials.py
+++ b/tests/test_hung_trials.py
@@ -165,8 +165,8 @@
     def test_slow_trial_may_go_on(self, median_s, age_s):
         """Guards against an endpoint that is out as its trials vary.
 
-        On sntal-cl trouble-1 an endpoint was out for 18 s. Its trials were taken for
-        hung after 0.4 s, where 0.2 s are usual, and once after 3 ms.
+        On sntal-cl trouble-1 an endpoint was out for 18 s. Trials were taken for hung
+        after 0.4 s, where 0.2 s are usual, and once after 3 ms.
         """
         assert not self.has_failed(median_s, age_s)
 
--- a/tests/test_retry_loans.py
+++ b/tests/test_retry_loans.py
@@ -190,8 +190,8 @@
     def test_stragglers_leave_a_part_to_failures(self):
         """Guards against failed requests that stragglers have left no attempt.
 
-        Pattern: all endpoints of a service shed half of their work. On sntal-cl scale-1
-        (seed 11) second attempts had used the budget, and worth fell by 0.05.
+        Pattern: all endpoints of a service shed half of their work. On such a day,
+        sntal-cl scale-1 (seed 11), worth fell by 0.05 with second attempts.
         """
         budget, repeated = FleetShareBudget(BUDGET, lambda: 1), 0
         for n in range(300):
