Log the loads that were compared and the risk behind a refusal

The lines show refusals as `busy` and candidates that are kept but not chosen, not why: `busy` stands for full slots and for a lack of recent answers, and the choice among the kept candidates goes by loads that no line holds.

A refusal now tells what runs and waits at the endpoint and the wait elsewhere that is taken to be better; a choice tells the loads of those it was made among. No decision is changed.

--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -85,11 +85,13 @@
 class Decision:
     """The endpoint chosen, or None, and how it came about.
 
+    `kept` holds the candidates that passed all stages, among which the policy chose.
     `last_resort` says that no endpoint was known that takes all work.
     """
 
     chosen: object = None
     candidates: list = field(default_factory=list)
+    kept: list = field(default_factory=list)
     drops: list = field(default_factory=list)
     last_resort: bool = False
 
@@ -325,7 +327,7 @@
     stream = healthy_first(stream, drops, rng, trial_share)
     if "near_first" not in skip:
         stream = near_first(stream, drops)
-    kept = list(stream)
+    kept = decision.kept = list(stream)
     healthy = Health.HEALTHY
     decision.last_resort = not any(c.health is healthy for c in reachable)
     if kept:
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -199,9 +199,8 @@
         load = local.load() if local else msgs.LoadReport("", 0, 0, 0, "healthy", 1.0)
         now = asyncio.get_running_loop().time()
         wait_s = local.queue.retry_after_s(now) if local else 0.0
-        if reason is Reason.BUSY:
-            wait_s += self._watch.risk_s(local.endpoint)
-        retry_after_ms = int(wait_s * 1000)
+        risk_s = self._watch.risk_s(local.endpoint) if reason is Reason.BUSY else 0.0
+        retry_after_ms = int((wait_s + risk_s) * 1000)
         event(
             log,
             "placement",
@@ -209,6 +208,9 @@
             endpoint=run.head.endpoint_id,
             verdict="refused",
             reason=reason.value,
+            running=load.running,
+            queued=load.queued,
+            risk_ms=int(risk_s * 1000),
         )
         run.send(msgs.Refusal(run.head.attempt_id, reason.value, retry_after_ms, load))
 
--- a/dandelionarch/daemon/decision_log.py
+++ b/dandelionarch/daemon/decision_log.py
@@ -37,6 +37,9 @@
         drops = ";".join(
             f"{d.endpoint_id}:{d.stage}:{d.reason}" for d in decision.drops
         )
+        loads = ";".join(
+            f"{c.endpoint.endpoint_id}:{c.load:.2f}" for c in decision.kept
+        )
         fields = {
             "request": work.request_id,
             "service": work.service,
@@ -44,6 +47,7 @@
             "chosen": command.endpoint.endpoint_id,
             "candidates": ",".join(decision.candidates),
             "drops": drops or "-",
+            "loads": loads,
         }
         event(log, "routing", **fields)
         self.remember(work.request_id, "routing", fields)
--- /dev/null
+++ b/tests/test_decision_lines.py
@@ -0,0 +1,76 @@
+"""Log lines tell why an endpoint got no work."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+
+import pytest
+
+from dandelionarch.core.directory import Directory
+from dandelionarch.core.ingress import Dispatch, Work
+from dandelionarch.core.selection import Candidate, TwoChoices, select
+from dandelionarch.core.world import Endpoint, EndpointState, Vm
+from dandelionarch.daemon.agent import Agent
+from dandelionarch.daemon.decision_log import DecisionLog
+from dandelionarch.daemon.watch import GateWatch
+from tests.test_agent_cancel import FakeNetwork, head
+
+ENDPOINT = Endpoint("w", "vm", "s", "127.0.0.1", 9, 4, 9, 1, state=EndpointState.READY)
+
+
+class Records(logging.Handler):
+    """Keeps what is logged."""
+
+    def __init__(self):
+        super().__init__()
+        self.kept = []
+
+    def emit(self, record):
+        self.kept.append(record)
+
+
+@pytest.fixture
+def records():
+    """Return the log records of a test."""
+    handler, logger = Records(), logging.getLogger("dandelionarch")
+    level = logger.level
+    logger.setLevel(logging.INFO)
+    logger.addHandler(handler)
+    yield handler.kept
+    logger.removeHandler(handler)
+    logger.setLevel(level)
+
+
+class TestRefusalLine:
+    """A refusal as busy tells full slots from an endpoint without answers."""
+
+    def test_refusal_for_the_lack_of_answers(self, records):
+        """Guards against a refusal that looks as if the slots were taken."""
+        asyncio.run(self._offer(records))
+
+    async def _offer(self, records):
+        network, directory = FakeNetwork(), Directory()
+        directory.put_endpoint(ENDPOINT)
+        Agent(network, directory, "vm", GateWatch(directory, network.now))
+        order = dataclasses.replace(head(1, 0, may_wait=False), idempotent=False)
+        network.receive(order)
+        line = records[-1]
+        assert (line.getMessage(), line.reason) == ("placement", "busy")
+        assert (line.running, line.queued) == (0, 0)
+        assert line.risk_ms > 0
+
+
+class TestRoutingLine:
+    """A choice tells the loads that were compared."""
+
+    def test_loads_of_the_candidates(self):
+        """Guards against an endpoint that is passed over for a reason nobody sees."""
+        vm = Vm("vm", "dc", "r", "h", 0, 0, 0, 0, 1)
+        cold = Candidate(ENDPOINT, vm, in_flight=1, warmup=0.25)
+        decision = select([cold], TwoChoices(), random.Random(1))
+        work = Work("r", "c", "s", "route", "kind", True, 0)
+        log = DecisionLog()
+        log.chosen(work, Dispatch(ENDPOINT, decision))
+        ((_, fields),) = log.of("r")
+        assert fields["loads"] == "w:1.00"
