Let an order in at an endpoint that orders have avoided for a second

Cause: an order is turned away by an endpoint that has not answered for half a second, and the wait elsewhere that is preferred grows up to 2 s. Only idempotent work ended that, and this service has little of it. So an endpoint without an answer got no work, and without work gave no answer.

Change: once an order was turned away, and nothing has begun or ended at the endpoint for a second, the next order is let in. A first order after a long rest still goes elsewhere.

Ruled out: a lower MOST_RISK_S alone, as the endpoint would still be the last choice; status checks as answers, as they pass in a failing spell.

--- a/dandelionarch/core/stalls.py
+++ b/dandelionarch/core/stalls.py
@@ -33,6 +33,9 @@
 # ago that was. Such a risk is worth about as long a wait elsewhere.
 FRESH_S = 0.5
 MOST_RISK_S = 2.0
+# An endpoint that gets no work gives no answer, so it is not avoided for longer. With
+# the run before and the time until the next request that is within two seconds.
+MOST_AVOIDED_S = 1.0
 # Runs that were given up, for one as another endpoint was faster, count for this long.
 GIVEN_UP_S = 5.0
 # Answers to runs that began after an old one; more would change nothing.
@@ -74,6 +77,8 @@
         self._given_up = deque(maxlen=ANSWERS_KEPT)
         self._answered = deque(maxlen=ANSWERS_KEPT)
         self._answered_at = -math.inf
+        self._started_at = -math.inf
+        self._avoided = False
 
     def started(self, run, key, now, budget_s=math.inf):
         """Take note of a run that begins.
@@ -81,6 +86,8 @@
         `key` names its kind of work; it has `budget_s` seconds.
         """
         self._running[run] = _Running(key, now, budget_s)
+        self._started_at = now
+        self._avoided = False
 
     def ended(self, run, answered, now):
         """Take note of the end of a run."""
@@ -131,6 +138,21 @@
         age_s = now - self._answered_at
         return 0.0 if age_s <= FRESH_S else min(MOST_RISK_S, age_s)
 
+    def avoids(self, now):
+        """Return True, and count it, if an order is better off elsewhere.
+
+        An order is work that can't be repeated. Where there is little other work, only
+        an order can show that the endpoint answers. So once one was turned away and
+        nothing has begun or ended for a while, the next one is let in.
+        """
+        if not self.risk_s(now):
+            return False
+        idle_s = now - max(self._answered_at, self._started_at)
+        if self._avoided and idle_s >= MOST_AVOIDED_S:
+            return False
+        self._avoided = True
+        return True
+
     def hung_runs(self, now):
         """Return the runs that are taken for hung if the endpoint is suspect."""
         return [
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -191,7 +191,7 @@
         if not admits(local.endpoint, head.idempotent, head.last_resort):
             return Reason.EJECTED
         may_move = not head.may_wait and not head.idempotent
-        if may_move and self._watch.risk_s(local.endpoint):
+        if may_move and self._watch.avoids(local.endpoint):
             return Reason.BUSY
         return None
 
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -62,6 +62,10 @@
         """Return the wait elsewhere that is better for work that can't be repeated."""
         return 0.0
 
+    def avoids(self, endpoint):
+        """Return True if work that can't be repeated is to be turned away for now."""
+        return False
+
     @abstractmethod
     def admitted(self, endpoint, run):
         """Take note of an attempt that was let in."""
@@ -164,6 +168,11 @@
             return 0.0
         return self._stalls_of(endpoint).risk_s(self._now())
 
+    def avoids(self, endpoint):
+        if Mechanism.FRESH_ENDPOINTS in self._off:
+            return False
+        return self._stalls_of(endpoint).avoids(self._now())
+
     def _stalls_of(self, endpoint):
         stalls = self._stalls.get(endpoint.endpoint_id)
         if stalls is None:
--- a/tests/test_busy_load.py
+++ b/tests/test_busy_load.py
@@ -138,10 +138,12 @@
     def _place(self):
         is_open = [n for n in range(ENDPOINTS) if self.closed_until[n] <= self.now]
         asked = self.rng.sample(is_open, min(BUSY_MOVES, len(is_open)))
-        risks = {n: self.stalls[n].risk_s(self.now) for n in asked}
         if not self.turn_away:
             return asked[0]
-        return next((n for n in asked if not risks[n]), min(risks, key=risks.get))
+        for number in asked:
+            if not self.stalls[number].avoids(self.now):
+                return number
+        return min(asked, key=lambda n: self.stalls[n].risk_s(self.now))
 
     def _served(self, number):
         run = object()
--- /dev/null
+++ b/tests/test_idle_endpoints.py
@@ -0,0 +1,146 @@
+"""Load on a service some of whose sound endpoints have no recent answer to show.
+
+Pattern: most work can't be repeated. Some endpoints have just joined, or have just left
+a failing spell, while the others answer all the time, with room for twice the work.
+"""
+
+import heapq
+import itertools
+import random
+
+import pytest
+
+from dandelionarch.core.admission import CostQueue
+from dandelionarch.core.ingress import Dispatch, RequestLife, Work
+from dandelionarch.core.outcome import Reason
+from dandelionarch.core.selection import Candidate, TwoChoices, select
+from dandelionarch.core.stalls import StallDetector
+from dandelionarch.core.world import Endpoint, Vm
+from dandelionarch.daemon.registry_app import BUSY_MOVES
+
+ENDPOINTS = 30
+SLOTS = 3
+WORK_S = 0.43
+DEADLINE_S = 4.0
+LOAD = 0.5
+# Of the sound endpoints of a service, this share is to get work in each window.
+FLOOR_SHARE = 0.7
+WINDOW_S = 2.0
+VM = Vm("vm", "dc", "r", "h", 0, 0, 0, 0, 1)
+REFUSALS = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
+
+
+class AnsweringEndpoint:
+    """A sound endpoint with its agent's queue and watch for hangs."""
+
+    def __init__(self, endpoint_id, answered):
+        self.endpoint = Endpoint(endpoint_id, "vm", "s", "h", 80, SLOTS, 1620, 1)
+        self.queue = CostQueue(SLOTS)
+        self.stalls = StallDetector(lambda key, age_s: None)
+        self.last_run = 0.0
+        if answered:
+            self.stalls.started("first", "k", 0.0)
+            self.stalls.ended("first", answered=True, now=0.0)
+
+    def offer(self, item, work, now, deadline, may_wait):
+        """Return (verdict, seconds that the agent tells to wait)."""
+        may_move = not may_wait and not work.idempotent
+        if may_move and self.stalls.avoids(now):
+            return "busy", self.queue.retry_after_s(now) + self.stalls.risk_s(now)
+        verdict = self.queue.offer(item, now, "k", deadline, may_wait=may_wait)
+        return verdict, self.queue.retry_after_s(now)
+
+
+class Service:
+    """Endpoints of which the last `idle` have not answered yet, and requests."""
+
+    def __init__(self, seed, idle, idempotent_share):
+        self.rng = random.Random(seed)
+        self.now = 0.0
+        self.idle = idle
+        self.idempotent_share = idempotent_share
+        self.endpoints = {
+            f"i-{n}": AnsweringEndpoint(f"i-{n}", answered=n < ENDPOINTS - idle)
+            for n in range(ENDPOINTS)
+        }
+        self._numbers = itertools.count()
+        self._events = []
+        self._at(0.0, self._arrive)
+
+    def least_busy_share(self, seconds):
+        """Return the least share of the idle endpoints with work in a window."""
+        shares = []
+        while self.now < seconds:
+            self.now, _, action, args = heapq.heappop(self._events)
+            action(*args)
+            if self.now >= WINDOW_S:
+                shares.append(self._busy_share())
+        return min(shares)
+
+    def _busy_share(self):
+        idle = list(self.endpoints.values())[-self.idle :]
+        since = self.now - WINDOW_S
+        return sum(e.last_run >= since for e in idle) / self.idle
+
+    def _at(self, time, action, *args):
+        heapq.heappush(self._events, (time, next(self._numbers), action, args))
+
+    def _candidate(self, endpoint):
+        return Candidate(endpoint.endpoint, VM)
+
+    def _choose(self, work, tried, only=None):
+        candidates = [self._candidate(e) for e in self.endpoints.values()]
+        return select(candidates, TwoChoices(), self.rng, tried, only=only)
+
+    def _arrive(self):
+        per_s = LOAD * ENDPOINTS * SLOTS / WORK_S
+        self._at(self.now + self.rng.expovariate(per_s), self._arrive)
+        idempotent = self.rng.random() < self.idempotent_share
+        work = Work("r", "c", "s", "route", "kind", idempotent, 0)
+        deadline = self.now + DEADLINE_S
+        life = RequestLife(
+            work,
+            self._choose,
+            deadline,
+            self.rng,
+            reserve=lambda: lambda: None,
+            busy_moves=BUSY_MOVES,
+        )
+        item = next(self._numbers)
+        command = life.start(self.now)
+        while isinstance(command, Dispatch):
+            endpoint = self.endpoints[command.endpoint.endpoint_id]
+            verdict, wait_s = endpoint.offer(
+                item, work, self.now, deadline, command.may_wait
+            )
+            if verdict == "run":
+                self._begin(endpoint, item)
+            if verdict not in REFUSALS:
+                return
+            command = life.not_run(REFUSALS[verdict], self.now, wait_s)
+
+    def _begin(self, endpoint, item):
+        endpoint.last_run = self.now
+        endpoint.stalls.started(item, "k", self.now)
+        work_s = WORK_S * self.rng.uniform(0.5, 1.5)
+        self._at(self.now + work_s, self._end, endpoint, item)
+
+    def _end(self, endpoint, item):
+        endpoint.stalls.ended(item, answered=True, now=self.now)
+        following = endpoint.queue.finish(item, self.now)
+        if following is not None:
+            self._begin(endpoint, following)
+
+
+@pytest.mark.parametrize("seed", range(5))
+class TestSoundEndpointsWithoutWork:
+    """A sound endpoint gets the work that can show that it is sound."""
+
+    def test_orders_do_not_avoid_an_endpoint_for_long(self, seed):
+        """Guards against orders that avoid an endpoint for as long as it has no work.
+
+        On sengupta-lamps-grown trouble-3, three of nine sound endpoints of one service
+        got nothing for two seconds while 32 of 233 requests were not served.
+        """
+        service = Service(seed, idle=9, idempotent_share=0.1)
+        assert service.least_busy_share(8.0) >= FLOOR_SHARE
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -87,8 +87,10 @@
     def test_fresh_endpoints(self):
         """Guards against orders that are still turned away for a risk."""
         assert self.broken(frozenset()).risk_s(ENDPOINT) > 0
+        assert self.broken(frozenset()).avoids(ENDPOINT)
         off = frozenset({Mechanism.FRESH_ENDPOINTS})
         assert self.broken(off).risk_s(ENDPOINT) == 0
+        assert not self.broken(off).avoids(ENDPOINT)
 
     def test_queue_rules(self):
         """Guards against a queue that keeps a rule which is off."""
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -13,7 +13,12 @@
 
 from dandelionarch.core.costs import CostModel
 from dandelionarch.core.gate import EndpointGate, RunResult
-from dandelionarch.core.stalls import GIVEN_UP_S, MOST_RISK_S, StallDetector
+from dandelionarch.core.stalls import (
+    GIVEN_UP_S,
+    MOST_AVOIDED_S,
+    MOST_RISK_S,
+    StallDetector,
+)
 from dandelionarch.core.world import Health
 
 ROUTE = "r"
@@ -211,6 +216,23 @@
         assert risks == sorted(risks)
         assert risks[-1] == MOST_RISK_S
 
+    def test_order_is_let_in_after_a_while_without_work(self):
+        """Guards against an endpoint that is avoided for as long as it is avoided."""
+        stalls = self.detector(1.0)
+        stalls.started("run", ROUTE, 0.0)
+        stalls.ended("run", answered=True, now=1.0)
+        assert not stalls.avoids(1.1)
+        assert stalls.avoids(1.9)
+        assert not stalls.avoids(1.0 + MOST_AVOIDED_S)
+        stalls.started("order", ROUTE, 2.0)
+        assert stalls.avoids(2.1)
+
+    def test_first_order_after_a_long_rest_goes_elsewhere(self):
+        """Guards against orders that test quiet endpoints beside busy ones."""
+        stalls = self.detector(1.0)
+        assert stalls.avoids(60.0)
+        assert not stalls.avoids(60.1)
+
 
 class TestGate:
     """A hang closes the gate; the hung run's own answer opens it again."""
