End the hold on a VM when its link opens again

Change: where links are kept open, a handshake ends the hold; it has passed both ways. In the other composition links are opened by requests, so it stays as it is.

--- a/dandelionarch/daemon/endpoint_views.py
+++ b/dandelionarch/daemon/endpoint_views.py
@@ -76,6 +76,10 @@
         self._invites = TrialInvites()
         self._opened = asyncio.Event()
         self.on_load = lambda report: None
+        if rules.links_kept_open:
+            # No request goes to a VM that is left out, so no reply could show that it
+            # is back; a handshake has passed both ways.
+            network.on_opened(lambda link: self.link_worked(link.vm_id))
 
     def candidates(self, service):
         """Return a `Candidate` for each endpoint of a service that is in reach."""
