Count the time to stop from the last signal

Cause: the stop is an event, and the limit for the work in flight is fixed when it is first seen. A later signal changes nothing.

Change: `StopRequest` keeps the time of the last signal, and all that waits for work in flight asks it. The start of a stop stands once, in `DaemonLifecycle.drain`, instead of in both daemons.

Evidence: the new test, with the first signal counted instead of the last, leaves with a request in flight; now it does not. Not shown: whether the platform's kill is renewed too.

Ruled out: giving up later after the first signal, as the kill may come 6 s after it.

--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -144,13 +144,8 @@
         self.ingress.fetch_endpoints = self.gossip.ensure
         self.gossip.carry_addresses(self.fleet.fold.addresses)
         self.announcements = Announcements()
-        self._stop_requested = None
         self._drained = {}
 
-    async def run(self, stop):
-        self._stop_requested = stop
-        await super().run(stop)
-
     def _start_steps(self):
         cfg = self.settings.daemon
         host = cfg.host
@@ -190,18 +185,20 @@
     def _working_parts(self):
         return (*super()._working_parts(), self.orders)
 
-    async def drain(self):
-        event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
+    @property
+    def _stop_s(self):
+        return self.settings.limits.stop_timeout_s
+
+    async def _drain(self, has_time):
         self.gossip.leave()
         for link in self.network.all_links():
             with contextlib.suppress(LinkError):
                 link.send(msgs.Leaving(self.vm_id))
         self.http.refuse_new_work()
         self.agent.stopping = True
-        limit = asyncio.get_running_loop().time() + self.settings.limits.stop_timeout_s
-        await self._finish_work(limit)
+        await self._finish_work(has_time)
         await self.fleet.leave()
-        await self._close_callers(limit)
+        await self._close_callers(has_time)
 
     async def _stop_gossip(self):
         self.gossip.stop()
@@ -240,7 +237,7 @@
     def leave(self):
         """Begin a graceful stop, as on SIGTERM."""
         event(log, "drain_requested", vm=self.vm_id)
-        self._stop_requested.set()
+        self.stop_request.set()
 
     def drain_endpoint(self, endpoint_id):
         """Give an endpoint beside this daemon no new work; return False if unknown.
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -119,10 +119,12 @@
         self.stopping = True
         self.app.config.KEEP_ALIVE = False
 
-    async def close_idle(self, server, deadline):
-        """Close callers' connections once their last response has been sent."""
-        loop = asyncio.get_running_loop()
-        while server.connections and loop.time() < deadline:
+    async def close_idle(self, server, has_time):
+        """Close callers' connections once their last response has been sent.
+
+        It waits for responses while `has_time()` is true.
+        """
+        while server.connections and has_time():
             for conn in list(server.connections):
                 conn.close_if_idle()
             await asyncio.sleep(STOP_POLL_S)
--- a/dandelionarch/daemon/lifecycle.py
+++ b/dandelionarch/daemon/lifecycle.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import time
 from abc import ABC, abstractmethod
@@ -9,6 +10,7 @@
 from dandelionarch.core.directory import Directory
 from dandelionarch.daemon.listening import close_listener
 from dandelionarch.daemon.parts import run_steps, serve_app, supervise
+from dandelionarch.daemon.stopping import StopRequest
 from dandelionarch.errors import StartError, StopError
 from dandelionarch.ids import Incarnation
 from dandelionarch.logs import event
@@ -27,7 +29,8 @@
 class DaemonLifecycle(ABC):
     """Owns a daemon's servers and tasks; subclasses build its parts.
 
-    Subclasses set `network`, `agent` and `http`.
+    Subclasses set `network`, `agent` and `http`. `stop_request` is set to have the
+    daemon stop.
 
     Parameters
     ----------
@@ -40,6 +43,7 @@
         self.vm_id = vm.vm_id
         self.directory = Directory()
         self.directory.put_vm(vm)
+        self.stop_request = StopRequest()
         self._servers = []
         self._tasks = []
 
@@ -55,16 +59,30 @@
     def _task_functions(self):
         """Return the coroutine functions that run until the daemon stops."""
 
-    @abstractmethod
     async def drain(self):
         """Tell the peers, take no new work, and finish what is in flight."""
+        if not self.stop_request.is_set():
+            self.stop_request.set()
+        event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
+        await self._drain(
+            functools.partial(self.stop_request.leaves_time, self._stop_s)
+        )
+
+    @property
+    @abstractmethod
+    def _stop_s(self):
+        """Return for how many seconds work in flight is waited for."""
+
+    @abstractmethod
+    async def _drain(self, has_time):
+        """Do what `drain` says while `has_time()` is true."""
 
     def _working_parts(self):
         """Return the parts whose `in_flight` counts work that a stop waits for."""
         return (self.agent, self.http)
 
-    async def run(self, stop):
-        """Serve until the `stop` event is set, then shut down gracefully.
+    async def run(self):
+        """Serve until the stop is requested, then shut down gracefully.
 
         Raises
         ------
@@ -73,7 +91,7 @@
         """
         await self.start()
         event(log, "daemon_started", vm=self.vm_id, incarnation=self.vm.incarnation)
-        await stop.wait()
+        await self.stop_request.wait()
         await self.drain()
         await self.stop()
         event(log, "daemon_stopped", vm=self.vm_id)
@@ -91,10 +109,9 @@
     async def _serve(self, app, host, port, protocol=None):
         self._servers.append(await serve_app(app, host, port, protocol))
 
-    async def _finish_work(self, limit):
-        """Wait until nothing is in flight or unsent, until loop time `limit`."""
-        loop = asyncio.get_running_loop()
-        while self._busy() and loop.time() < limit:
+    async def _finish_work(self, has_time):
+        """Wait until nothing is in flight or unsent, while `has_time()` is true."""
+        while self._busy() and has_time():
             await asyncio.sleep(STOP_POLL_S)
 
     def _busy(self):
@@ -102,11 +119,11 @@
         in_flight = any(part.in_flight for part in self._working_parts())
         return in_flight or self.network.unsent() > 0
 
-    async def _close_callers(self, limit):
+    async def _close_callers(self, has_time):
         """Close the listeners, and callers' connections after their last response."""
         await asyncio.gather(*map(close_listener, self._servers))
         for server in self._servers:
-            await self.http.close_idle(server, limit)
+            await self.http.close_idle(server, has_time)
         if self.agent.in_flight or self.http.in_flight:
             event(
                 log,
--- a/dandelionarch/daemon/main.py
+++ b/dandelionarch/daemon/main.py
@@ -14,11 +14,11 @@
 
 async def serve(settings):
     """Run a daemon until SIGTERM or SIGINT."""
-    stop = asyncio.Event()
+    daemon = Daemon(settings)
     loop = asyncio.get_running_loop()
     for sig in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sig, stop.set)
-    await Daemon(settings).run(stop)
+        loop.add_signal_handler(sig, daemon.stop_request.set)
+    await daemon.run()
 
 
 def main(argv=None):
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -283,25 +283,23 @@
         with contextlib.suppress(LinkError):
             link.send(msgs.TrialInvite(endpoint_id))
 
-    async def drain(self):
-        """Tell the peers, take no new work, and finish what is in flight.
+    @property
+    def _stop_s(self):
+        return self.settings.stop.timeout_s
 
-        Callers learn by the readiness check that they are to go elsewhere; until
-        then, and while endpoints here still make calls, they are served.
-        """
-        event(log, "daemon_stopping", vm=self.vm_id, in_flight=self.agent.in_flight)
-        loop = asyncio.get_running_loop()
-        limit = loop.time() + self.settings.stop.timeout_s
+    async def _drain(self, has_time):
+        # Callers learn by the readiness check that they are to go elsewhere; until
+        # then, and while endpoints here still make calls, they are served.
         self._stopping = True
         self.agent.stopping = True
         self.network.broadcast(msgs.Leaving(self.vm_id))
-        leave = asyncio.create_task(self.registry.leave(self.settings.stop.timeout_s))
+        leave = asyncio.create_task(self.registry.leave(self._stop_s))
         await asyncio.sleep(self.settings.stop.drain_s)
-        while self.agent.in_flight and loop.time() < limit:
+        while self.agent.in_flight and has_time():
             await asyncio.sleep(STOP_POLL_S)
         self.http.refuse_new_work()
-        await self._finish_work(limit)
-        await self._close_callers(limit)
+        await self._finish_work(has_time)
+        await self._close_callers(has_time)
         leave.cancel()
         await asyncio.gather(leave, return_exceptions=True)
 
--- a/dandelionarch/platform/main.py
+++ b/dandelionarch/platform/main.py
@@ -23,10 +23,6 @@
 
 async def serve(settings):
     """Run a daemon until SIGTERM or SIGINT."""
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for sig in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sig, stop.set)
     client = StoreClient(*split_address(settings.store.address))
     platform = Platform(
         client.topic(OPERATOR_TOPIC),
@@ -37,10 +33,13 @@
         make_apps,
     )
     daemon = RegistryDaemon(settings, platform)
+    loop = asyncio.get_running_loop()
+    for sig in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sig, daemon.stop_request.set)
     loop.add_signal_handler(signal.SIGHUP, daemon.reload)
     await client.start()
     try:
-        await daemon.run(stop)
+        await daemon.run()
     finally:
         await client.stop()
 
--- a/tests/test_path_stop.py
+++ b/tests/test_path_stop.py
@@ -42,6 +42,30 @@
         await drain
         assert len(worker.runs) == 2
 
+    @fleet_test
+    async def test_second_signal_renews_the_time(self, fleet, session):
+        """Guards a request in flight at a daemon that is told to stop twice.
+
+        On sntal-cl mix (seed 305357368906) two planned changes overlapped, and a
+        request was given up 3.7 s after the second signal.
+        """
+        daemon = await fleet.daemon("vm-a", stop_timeout_s=0.6)
+        worker = await fleet.worker("w1", "vm-a", work_ms=1000)
+        running = asyncio.create_task(session.post(fleet.url("vm-a")))
+        await until(lambda: worker.runs, "request runs")
+        in_flight = []
+
+        async def leave():
+            in_flight.append(daemon.agent.in_flight)
+
+        daemon.fleet.leave = leave
+        drain = asyncio.create_task(daemon.drain())
+        await asyncio.sleep(0.4)
+        daemon.stop_request.set()
+        assert (await running).status == 200
+        await drain
+        assert in_flight == [0]
+
     @fleet_test
     async def test_idle_connections_are_closed(self, fleet, session):
         """Guards against callers that keep a connection to a daemon that is gone."""
