Use one virtual clock for the loads that need no network

Four test modules each had an event loop of their own: the same heap, order and run. They now share tests/support/simulation.py; their checks and bounds are as before.

--- a/tests/test_busy_load.py
+++ b/tests/test_busy_load.py
@@ -6,8 +6,6 @@
 """
 
 import dataclasses
-import heapq
-import itertools
 import random
 
 import pytest
@@ -19,6 +17,7 @@
 from dandelionarch.core.stalls import StallDetector
 from dandelionarch.core.world import Endpoint, Health, Vm
 from dandelionarch.daemon.registry_app import BUSY_MOVES
+from tests.support.simulation import Simulation
 
 ENDPOINTS = 30
 SLOTS = 2
@@ -31,45 +30,33 @@
 REFUSALS = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
 
 
-class Service:
+class Service(Simulation):
     """Endpoints with their agents' queues, and requests without any knowledge."""
 
     def __init__(self, seed, load, busy_moves):
+        super().__init__()
         self.rng = random.Random(seed)
         self.rate_per_s = load * ENDPOINTS * SLOTS / WORK_S
         self.busy_moves = busy_moves
-        self.now = 0.0
         self.requests = self.refused = self.dispatches = 0
         self.waits_s = []
         self.queues = {f"i-{n}": CostQueue(SLOTS) for n in range(ENDPOINTS)}
         self.endpoints = [
             Endpoint(name, "vm", "s", "h", 80, SLOTS, 330, 1) for name in self.queues
         ]
-        self._events = []
-        self._order = itertools.count()
-        self._at(0.0, self._arrive)
-
-    def run(self, until):
-        """Let requests come until a time in seconds."""
-        while self._events[0][0] < until:
-            self.now, _, action, args = heapq.heappop(self._events)
-            action(*args)
-        return self
+        self.at(0.0, self._arrive)
 
     def late_share(self, wait_s):
         """Return the share of requests that waited longer or were refused."""
         late = sum(wait > wait_s for wait in self.waits_s) + self.refused
         return late / self.requests
 
-    def _at(self, time, action, *args):
-        heapq.heappush(self._events, (time, next(self._order), action, args))
-
     def _choose(self, work, tried, only=None):
         candidates = [Candidate(endpoint, VM) for endpoint in self.endpoints]
         return select(candidates, TwoChoices(), self.rng, tried, only=only)
 
     def _arrive(self):
-        self._at(self.now + self.rng.expovariate(self.rate_per_s), self._arrive)
+        self.at(self.now + self.rng.expovariate(self.rate_per_s), self._arrive)
         self.requests += 1
         deadline = self.now + DEADLINE_S
         life = RequestLife(
@@ -99,7 +86,7 @@
     def _begin(self, queue, item):
         self.waits_s.append(self.now - item[1])
         work_s = WORK_S * self.rng.lognormvariate(-0.045, 0.3)
-        self._at(self.now + work_s, self._end, queue, item)
+        self.at(self.now + work_s, self._end, queue, item)
 
     def _end(self, queue, item):
         following = queue.finish(item, self.now)
--- a/tests/test_gate_load.py
+++ b/tests/test_gate_load.py
@@ -5,8 +5,6 @@
 requests are idempotent, so that few could show which endpoints are sound again.
 """
 
-import heapq
-import itertools
 import random
 
 import pytest
@@ -18,6 +16,7 @@
 from dandelionarch.core.world import Endpoint, Health, Vm
 from dandelionarch.daemon.registry_app import GATE_TRIAL_SHARE
 from dandelionarch.daemon.watch import CHECK_PERIOD_S
+from tests.support.simulation import Simulation
 
 INGRESSES = 99
 # Calls that endpoints make come from the VMs of the services that make them.
@@ -41,7 +40,7 @@
         self.last_run = 0.0
 
 
-class Service:
+class Service(Simulation):
     """All endpoints of a service, and the requests that come to it."""
 
     def __init__(
@@ -53,8 +52,8 @@
         ingresses=INGRESSES,
         idempotent_ingresses=IDEMPOTENT_INGRESSES,
     ):
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 0.0
         self.refused = 0
         self.requests = 0
         self.rate_per_s = rate_per_s
@@ -66,8 +65,6 @@
             f"i-{number}": SoundEndpoint(number, self.rng)
             for number in range(ENDPOINTS)
         }
-        self._events = []
-        self._order = itertools.count()
         for number in range(closed):
             self._close(self.endpoints[f"i-{number}"])
         self.at(0.0, self._arrive)
@@ -81,10 +78,6 @@
         endpoint.gate.began(run, 0.0)
         endpoint.gate.ended(run, RunResult.BROKEN, 0.0)
 
-    def at(self, time, action, *args):
-        """Call an action at a time in seconds."""
-        heapq.heappush(self._events, (time, next(self._order), action, args))
-
     def open_share(self):
         """Return the share of the endpoints that take all work."""
         healths = [e.gate.health for e in self.endpoints.values()]
@@ -95,12 +88,6 @@
         since = self.now - window_s
         return sum(e.last_run >= since for e in self.endpoints.values()) / ENDPOINTS
 
-    def run(self, until):
-        """Let requests come until a time in seconds."""
-        while self._events[0][0] < until:
-            self.now, _, action, args = heapq.heappop(self._events)
-            action(*args)
-
     def _invite(self):
         self.at(self.now + CHECK_PERIOD_S, self._invite)
         for endpoint_id, endpoint in self.endpoints.items():
--- a/tests/test_idle_endpoints.py
+++ b/tests/test_idle_endpoints.py
@@ -4,8 +4,6 @@
 a failing spell, while the others answer all the time, with room for twice the work.
 """
 
-import heapq
-import itertools
 import random
 
 import pytest
@@ -17,6 +15,7 @@
 from dandelionarch.core.stalls import StallDetector
 from dandelionarch.core.world import Endpoint, Vm
 from dandelionarch.daemon.registry_app import BUSY_MOVES
+from tests.support.simulation import Simulation
 
 ENDPOINTS = 30
 SLOTS = 3
@@ -51,28 +50,24 @@
         return verdict, self.queue.retry_after_s(now)
 
 
-class Service:
+class Service(Simulation):
     """Endpoints of which the last `idle` have not answered yet, and requests."""
 
     def __init__(self, seed, idle, idempotent_share):
+        super().__init__()
         self.rng = random.Random(seed)
-        self.now = 0.0
         self.idle = idle
         self.idempotent_share = idempotent_share
         self.endpoints = {
             f"i-{n}": AnsweringEndpoint(f"i-{n}", answered=n < ENDPOINTS - idle)
             for n in range(ENDPOINTS)
         }
-        self._numbers = itertools.count()
-        self._events = []
-        self._at(0.0, self._arrive)
+        self.at(0.0, self._arrive)
 
     def least_busy_share(self, seconds):
         """Return the least share of the idle endpoints with work in a window."""
         shares = []
-        while self.now < seconds:
-            self.now, _, action, args = heapq.heappop(self._events)
-            action(*args)
+        for _ in self.steps(seconds):
             if self.now >= WINDOW_S:
                 shares.append(self._busy_share())
         return min(shares)
@@ -82,9 +77,6 @@
         since = self.now - WINDOW_S
         return sum(e.last_run >= since for e in idle) / self.idle
 
-    def _at(self, time, action, *args):
-        heapq.heappush(self._events, (time, next(self._numbers), action, args))
-
     def _candidate(self, endpoint):
         return Candidate(endpoint.endpoint, VM)
 
@@ -94,7 +86,7 @@
 
     def _arrive(self):
         per_s = LOAD * ENDPOINTS * SLOTS / WORK_S
-        self._at(self.now + self.rng.expovariate(per_s), self._arrive)
+        self.at(self.now + self.rng.expovariate(per_s), self._arrive)
         idempotent = self.rng.random() < self.idempotent_share
         work = Work("r", "c", "s", "route", "kind", idempotent, 0)
         deadline = self.now + DEADLINE_S
@@ -106,7 +98,7 @@
             reserve=lambda: lambda: None,
             busy_moves=BUSY_MOVES,
         )
-        item = next(self._numbers)
+        item = object()
         command = life.start(self.now)
         while isinstance(command, Dispatch):
             endpoint = self.endpoints[command.endpoint.endpoint_id]
@@ -123,7 +115,7 @@
         endpoint.last_run = self.now
         endpoint.stalls.started(item, "k", self.now)
         work_s = WORK_S * self.rng.uniform(0.5, 1.5)
-        self._at(self.now + work_s, self._end, endpoint, item)
+        self.at(self.now + work_s, self._end, endpoint, item)
 
     def _end(self, endpoint, item):
         endpoint.stalls.ended(item, answered=True, now=self.now)
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -5,8 +5,6 @@
 a usual share of stragglers, which take seven times as long.
 """
 
-import heapq
-import itertools
 import random
 
 import pytest
@@ -20,6 +18,7 @@
     StallDetector,
 )
 from dandelionarch.core.world import Health
+from tests.support.simulation import Simulation
 
 ROUTE = "r"
 WORK_S = 0.65
@@ -30,7 +29,7 @@
 CHECK_S = 0.1
 
 
-class HangingEndpoint:
+class HangingEndpoint(Simulation):
     """An endpoint with its costs, detector and gate, on a virtual clock.
 
     Work that the gate refuses goes elsewhere; a trial is let in as soon as the gate
@@ -38,10 +37,10 @@
     """
 
     def __init__(self, seed, rate_per_s, slowdown=1.0):
+        super().__init__()
         self.rng = random.Random(seed)
         self.rate_per_s = rate_per_s
         self.slowdown = slowdown
-        self.now = 0.0
         self.hangs = False
         self.lost = 0
         self.closed_s = 0.0
@@ -49,23 +48,11 @@
         self.costs = CostModel()
         self.gate = EndpointGate()
         self.stalls = StallDetector(self.costs.survival)
-        self._events = []
-        self._order = itertools.count()
-        self._at(0.0, self._arrive)
-        self._at(0.0, self._check)
-
-    def run(self, until):
-        """Let work come until a time in seconds."""
-        while self._events[0][0] < until:
-            self.now, _, action, args = heapq.heappop(self._events)
-            action(*args)
-        self.now = until
-
-    def _at(self, time, action, *args):
-        heapq.heappush(self._events, (time, next(self._order), action, args))
+        self.at(0.0, self._arrive)
+        self.at(0.0, self._check)
 
     def _arrive(self):
-        self._at(self.now + self.rng.expovariate(self.rate_per_s), self._arrive)
+        self.at(self.now + self.rng.expovariate(self.rate_per_s), self._arrive)
         if not self.gate.admits(idempotent=True, now=self.now):
             return
         run = object()
@@ -73,9 +60,9 @@
         self.stalls.started(run, ROUTE, self.now)
         if self.hangs and self.rng.random() < 0.85:
             self.lost += 1
-            self._at(self.now + DEADLINE_S, self._end, run, self.now, False)
+            self.at(self.now + DEADLINE_S, self._end, run, self.now, False)
         else:
-            self._at(self.now + self._work_s(), self._end, run, self.now, True)
+            self.at(self.now + self._work_s(), self._end, run, self.now, True)
 
     def _work_s(self):
         seconds = WORK_S * self.slowdown * self.rng.lognormvariate(0.0, SPREAD)
@@ -92,7 +79,7 @@
             self.stalls.proved_sound()
 
     def _check(self):
-        self._at(self.now + CHECK_S, self._check)
+        self.at(self.now + CHECK_S, self._check)
         was_open = self.gate.health is Health.HEALTHY
         self.closed_s += 0.0 if was_open else CHECK_S
         if not self.stalls.is_suspect(self.now):
