Let orders try closed gates two seconds after their last failure

Cause, the same class as before: only idempotent work goes to a closed gate. The agent lets other work in five seconds after the last failure, but no ingress sends any: it drops the endpoint for five seconds after each word of it, and then prefers open gates.

Change: after two seconds an agent's invitation says that any work will do, and an ingress that holds one sends its next request there. The two seconds are the window in which a sound endpoint is to get work. A trial is not turned away for its risk.

--- a/dandelionarch/core/gate.py
+++ b/dandelionarch/core/gate.py
@@ -19,7 +19,7 @@
 MAX_TRIAL_INTERVAL_S = 1.0
 # A service may have no idempotent requests, or few; then other work is a trial once no
 # trial has failed for this long.
-ANY_TRIAL_AFTER_S = 5.0
+ANY_TRIAL_AFTER_S = 2.0
 # Of the slots, for idempotent work that would find no endpoint otherwise.
 LAST_RESORT_SHARE = 0.5
 
@@ -78,9 +78,7 @@
             return True
         if idempotent and last_resort and len(self._trials) < self._most_trials:
             return True
-        if not self.wants_trial(now):
-            return False
-        return idempotent or now - self._failed_at >= ANY_TRIAL_AFTER_S
+        return self.wants_trial(now) and (idempotent or self.takes_any_trial(now))
 
     def wants_trial(self, now):
         """Return True if the gate is closed and would let a trial in now."""
@@ -88,6 +86,10 @@
             return False
         return now >= self._next_trial
 
+    def takes_any_trial(self, now):
+        """Return True if a trial need not be idempotent."""
+        return now - self._failed_at >= ANY_TRIAL_AFTER_S
+
     def began(self, run, now):
         """Take note that a request goes to the endpoint."""
         if self._closed_at is not None:
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -127,9 +127,13 @@
 
 @dataclass(frozen=True, slots=True)
 class TrialInvite:
-    """An agent asks for an idempotent request to an endpoint behind a closed gate."""
+    """An agent asks for a request to an endpoint behind a closed gate.
+
+    It is to be idempotent, unless `any_work` says that any will do.
+    """
 
     endpoint_id: str
+    any_work: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/core/selection.py
+++ b/dandelionarch/core/selection.py
@@ -41,7 +41,8 @@
 
     `in_flight` counts this ingress's own requests; `reported` those of others, as
     the endpoint's agent told `age_s` seconds ago; `near` says that the endpoint is
-    in the ingress's data centre, `invited` that its agent asks for a trial.
+    in the ingress's data centre, `invited` that its agent asks for the request as a
+    trial.
     """
 
     endpoint: object
@@ -182,9 +183,16 @@
 
 
 def gate_open(candidates, drops):
-    """Drop endpoints that have lately said that they take trials only."""
+    """Drop endpoints that have lately said that they take trials only.
+
+    Those stay whose agents ask for this request as a trial.
+    """
+    cands = list(candidates)
+    asking = [c for c in cands if c.invited]
+    others = [c for c in cands if not c.invited]
     drop = ("gate", "trials only")
-    return _without(candidates, drops, Health.TRIAL, TRIAL_HINT_S, drop)
+    yield from asking
+    yield from _without(others, drops, Health.TRIAL, TRIAL_HINT_S, drop)
 
 
 def _without(candidates, drops, health, hint_max_age_s, drop):
--- a/dandelionarch/daemon/endpoint_views.py
+++ b/dandelionarch/daemon/endpoint_views.py
@@ -81,8 +81,11 @@
             # is back; a handshake has passed both ways.
             network.on_opened(lambda link: self.link_worked(link.vm_id))
 
-    def candidates(self, service):
-        """Return a `Candidate` for each endpoint of a service that is in reach."""
+    def candidates(self, service, idempotent=True):
+        """Return a `Candidate` for each endpoint of a service that is in reach.
+
+        `idempotent` says whether they are for an idempotent request.
+        """
         own = self._directory.vms.get(self._network.vm_id)
         now = asyncio.get_running_loop().time()
         candidates = []
@@ -96,7 +99,7 @@
                 cand.near = vm.data_centre == own.data_centre
             self._add_link(cand, now)
             self._add_report(cand, now)
-            cand.invited = self._invites.holds(endpoint.endpoint_id, now)
+            cand.invited = self._invites.holds(endpoint.endpoint_id, now, idempotent)
             candidates.append(cand)
         return candidates
 
@@ -153,9 +156,10 @@
             async with asyncio.timeout(timeout_s):
                 await self._opened.wait()
 
-    def invited(self, endpoint_id):
-        """Take note that an agent asks for a trial of its endpoint."""
-        self._invites.invited(endpoint_id, asyncio.get_running_loop().time())
+    def invited(self, invite):
+        """Take note that an agent asks for a trial, by its `TrialInvite`."""
+        now = asyncio.get_running_loop().time()
+        self._invites.invited(invite.endpoint_id, now, invite.any_work)
 
     def refused(self, endpoint_id):
         """Take note that an endpoint has refused work."""
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -69,9 +69,7 @@
         network.subscribe(
             msgs.LoadNotice, lambda link, msg: self._views.note_load(msg.load)
         )
-        network.subscribe(
-            msgs.TrialInvite, lambda link, msg: self._views.invited(msg.endpoint_id)
-        )
+        network.subscribe(msgs.TrialInvite, lambda link, msg: self._views.invited(msg))
 
     async def run(self, work, req, deadline):
         """Run one request to its end.
@@ -179,14 +177,14 @@
         # Work that is not idempotent can't be repeated after a failed trial.
         trial_share = self._rules.trial_share if work.idempotent else 0.0
         return select(
-            self._views.candidates(work.service),
+            self._views.candidates(work.service, work.idempotent),
             self._policy,
             self._rng,
             tried,
             trial_share=trial_share,
             skip=self._skipped,
             only_healthy=self._rules.gates_told and not work.idempotent,
-            may_try=work.idempotent and not tried,
+            may_try=not tried,
             only=only,
         )
 
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -279,9 +279,9 @@
         self.metrics.incr(f"endpoint_health.{endpoint.health.value}")
         self.agent.announce_load(endpoint)
 
-    def _invite(self, endpoint_id, link):
+    def _invite(self, endpoint_id, link, any_work):
         with contextlib.suppress(LinkError):
-            link.send(msgs.TrialInvite(endpoint_id))
+            link.send(msgs.TrialInvite(endpoint_id, any_work))
 
     @property
     def _stop_s(self):
--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -108,7 +108,7 @@
         What is switched off.
 
     `on_change(endpoint)` is called with an endpoint whose health has changed, and
-    `on_invite(endpoint_id, link)` to ask one of the `peers()` for a trial.
+    `on_invite(endpoint_id, link, any_work)` to ask one of the `peers()` for a trial.
     `on_straggler(run)` is called with a run that has most likely hung, judged by
     `survival(endpoint_id, route, age_s)`, the share of runs that take longer.
     """
@@ -122,7 +122,7 @@
         self._gates = {}
         self._statuses = {}
         self.on_change = lambda endpoint: None
-        self.on_invite = lambda endpoint_id, link: None
+        self.on_invite = lambda endpoint_id, link, any_work: None
         self.on_straggler = lambda run: None
         self.survival = lambda endpoint_id, route, age_s: None
         self.peers = list
@@ -171,6 +171,9 @@
     def avoids(self, endpoint):
         if Mechanism.FRESH_ENDPOINTS in self._off:
             return False
+        if self._gate(endpoint).health is not Health.HEALTHY:
+            # It has been let in as a trial.
+            return False
         return self._stalls_of(endpoint).avoids(self._now())
 
     def _stalls_of(self, endpoint):
@@ -190,8 +193,9 @@
                 continue
             if endpoint.state is not EndpointState.READY:
                 continue
-            for link in inviter.due(self._gate(endpoint), now, self.peers):
-                self.on_invite(endpoint_id, link)
+            gate = self._gate(endpoint)
+            for link in inviter.due(gate, now, self.peers):
+                self.on_invite(endpoint_id, link, gate.takes_any_trial(now))
 
     def link_lost(self, link):
         """Forget an ingress whose link has ended."""
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -96,6 +96,7 @@
 
 struct TrialInvite {
   endpointId @0 :Text;
+  anyWork @1 :Bool;
 }
 
 struct Straggling {
