Let the switch for gates leave the choice of fresh endpoints as it is

With `gates` off an endpoint whose runs have failed is still to be avoided by orders for the lack of answers, as before. `avoids` asked the gate itself, which goes on counting while it is off, so that an ablation of gates would have switched off two mechanisms. It now asks for the health that is in force. The new test fails before.

--- a/dandelionarch/daemon/watch.py
+++ b/dandelionarch/daemon/watch.py
@@ -171,8 +171,8 @@
     def avoids(self, endpoint):
         if Mechanism.FRESH_ENDPOINTS in self._off:
             return False
-        if self._gate(endpoint).health is not Health.HEALTHY:
-            # It has been let in as a trial.
+        if self.marked(endpoint).health is not Health.HEALTHY:
+            # What a closed gate lets in is a trial.
             return False
         return self._stalls_of(endpoint).avoids(self._now())
 
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -96,6 +96,10 @@
         assert self.broken(off).risk_s(ENDPOINT) == 0
         assert not self.watch(off).avoids(ENDPOINT)
 
+    def test_gates_off_leave_fresh_endpoints_on(self):
+        """Guards against a switch that takes another mechanism off with it."""
+        assert self.broken(frozenset({Mechanism.GATES})).avoids(ENDPOINT)
+
     def test_queue_rules(self):
         """Guards against a queue that keeps a rule which is off."""
         off = frozenset({Mechanism.LATE_REFUSALS})
