--- a/dandelionarch/core/trials.py
+++ b/dandelionarch/core/trials.py
@@ -4,7 +4,8 @@
 the fewer requests are idempotent. So the agent asks some ingresses that have sent it
 idempotent work lately, and one of them sends its next such request. If none comes, it
 asks twice as many the next time: the larger a fleet is, the longer a few ingresses are
-without a request for the service.
+without a request for the service. A while after its last failure a gate takes any work,
+and the invitation says so.
 """
 
 from dataclasses import dataclass
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -174,7 +174,8 @@
         return self._returns.retry_after_s(now, self._rng, least_s)
 
     def _choose(self, work, tried, only=None):
-        # Work that is not idempotent can't be repeated after a failed trial.
+        # Work that is not idempotent can't be repeated after a failed trial, so that it
+        # is one only where an agent asks for any work.
         trial_share = self._rules.trial_share if work.idempotent else 0.0
         return select(
             self._views.candidates(work.service, work.idempotent),
--- a/tests/test_busy_load.py
+++ b/tests/test_busy_load.py
@@ -16,6 +16,7 @@
 from dandelionarch.core.selection import Candidate, TwoChoices, select
 from dandelionarch.core.stalls import StallDetector
 from dandelionarch.core.world import Endpoint, Health, Vm
+from dandelionarch.daemon.agent import REFUSALS
 from dandelionarch.daemon.registry_app import BUSY_MOVES
 from tests.support.simulation import Simulation
 
@@ -27,7 +28,6 @@
 CREST_SECONDS = 5.0
 VM = Vm("vm", "dc", "r", "h", 0, 0, 0, 0, 1)
 WORK = Work("r", "c", "s", "route", "kind", False, 0)
-REFUSALS = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
 
 
 class Service(Simulation):
--- a/tests/test_idle_endpoints.py
+++ b/tests/test_idle_endpoints.py
@@ -10,10 +10,10 @@
 
 from dandelionarch.core.admission import CostQueue
 from dandelionarch.core.ingress import Dispatch, RequestLife, Work
-from dandelionarch.core.outcome import Reason
 from dandelionarch.core.selection import COLD_SHARE, Candidate, TwoChoices, select
 from dandelionarch.core.stalls import StallDetector
 from dandelionarch.core.world import Endpoint, Vm
+from dandelionarch.daemon.agent import REFUSALS
 from dandelionarch.daemon.registry_app import BUSY_MOVES
 from tests.support.simulation import Simulation
 
@@ -26,7 +26,6 @@
 FLOOR_SHARE = 0.7
 WINDOW_S = 2.0
 VM = Vm("vm", "dc", "r", "h", 0, 0, 0, 0, 1)
-REFUSALS = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
 
 
 class AnsweringEndpoint:
