Log which configuration a request went by, and the reads of it

Choices and refusals now name the revision, reads of a topic and the time without reads are logged, and a notice of a newer revision is logged also while the daemon asks already.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -6,6 +6,7 @@
 from dandelionarch.core.outcome import Outcome, Reason
 from dandelionarch.core.routes import DEFAULT_MAX_ATTEMPTS
 from dandelionarch.core.world import Health
+from dandelionarch.ids import Revision
 
 # Refused attempts reach no endpoint and cost only a round trip between daemons.
 MAX_DISPATCHES = 8
@@ -27,7 +28,7 @@
     """A request with the properties of its route.
 
     An answer within `objective_s` seconds, the latency objective of the route, is worth
-    most to the caller.
+    most to the caller. `revision` is that of the configuration that has the route.
     """
 
     request_id: str
@@ -39,6 +40,7 @@
     priority: int
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     objective_s: float = math.inf
+    revision: Revision = Revision(0)
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/daemon/app.py
+++ b/dandelionarch/daemon/app.py
@@ -31,7 +31,7 @@
 from dandelionarch.daemon.orders import OrderDispatcher
 from dandelionarch.daemon.streams import StreamService
 from dandelionarch.errors import LinkError
-from dandelionarch.ids import DataCentreId, RegionId, VmId
+from dandelionarch.ids import DataCentreId, RegionId, Revision, VmId
 from dandelionarch.logs import event
 from dandelionarch.metrics import statsd_metrics
 
@@ -45,13 +45,14 @@
         self.lists = None
         self.routes = None
         self.keys = None
+        self.revision = Revision(0)
 
     @property
     def ready(self):
         """Return True once lists are active."""
         return self.lists is not None
 
-    def use(self, lists):
+    def use(self, lists, revision):
         """Activate new lists; lookup tables of unchanged kinds are kept."""
         old = self.lists
         if old is None or old.routes is not lists.routes:
@@ -59,6 +60,7 @@
         if old is None or old.customers is not lists.customers:
             self.keys = CustomerKeys(lists)
         self.lists = lists
+        self.revision = revision
 
 
 class Daemon(DaemonLifecycle):
@@ -296,7 +298,7 @@
         # Before its state is recent, a replaced VM could activate an older revision
         # than its predecessor used.
         if self.streams.ready and self.config.state.revision:
-            self.active_config.use(self.config.state.lists)
+            self.active_config.use(self.config.state.lists, self.config.state.revision)
 
     def _accepted_lists(self):
         state = self.config.state
--- a/dandelionarch/daemon/decision_log.py
+++ b/dandelionarch/daemon/decision_log.py
@@ -44,6 +44,7 @@
             "request": work.request_id,
             "service": work.service,
             "route": work.route,
+            "revision": work.revision,
             "chosen": command.endpoint.endpoint_id,
             "candidates": ",".join(decision.candidates),
             "drops": drops or "-",
--- a/dandelionarch/daemon/follower.py
+++ b/dandelionarch/daemon/follower.py
@@ -82,6 +82,7 @@
                 await asyncio.sleep(retry_delay_s(self._rng))
                 continue
             self._on_store_regained()
+            self._log_read(batch)
             self._offset = batch.end
             if batch.records:
                 self._on_records(batch.records)
@@ -100,11 +101,30 @@
 
     async def _skip_reads(self):
         """Wait while peers read in place of this daemon, up to `MAX_SKIP_S`."""
-        remaining_s = MAX_SKIP_S
-        while remaining_s > 0 and self._can_skip_reads():
-            if await self._wait(SKIP_CHECK_S):
-                return
+        if not self._can_skip_reads():
+            return
+        event(log, "reads_skipped", topic=self._topic.name, offset=self._offset)
+        remaining_s, requested = MAX_SKIP_S, False
+        while remaining_s > 0 and not requested and self._can_skip_reads():
+            requested = await self._wait(SKIP_CHECK_S)
             remaining_s -= SKIP_CHECK_S
+        event(
+            log,
+            "reads_resumed",
+            topic=self._topic.name,
+            offset=self._offset,
+            requested=requested,
+        )
+
+    def _log_read(self, batch):
+        event(
+            log,
+            "topic_read",
+            topic=self._topic.name,
+            offset=self._offset,
+            end=batch.end,
+            records=len(batch.records),
+        )
 
     async def _read_batch(self) -> Batch:
         if self._offset is None:
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -59,8 +59,8 @@
     callers : CallerProtocol
         Reads callers' header fields and builds the refusals.
     state : object
-        Its `routes` are those of the active configuration; `ready` is True once there
-        is one.
+        Its `routes` and `revision` are those of the active configuration; `ready` is
+        True once there is one.
     bounds : LimitsSection
         Size limits.
     limits : Limits, optional
@@ -155,6 +155,7 @@
             logging.WARNING,
             request=request_id,
             status=status,
+            revision=self._state.revision,
             error=type(exc).__name__,
             detail=str(exc),
         )
@@ -254,6 +255,7 @@
             priority,
             route.max_attempts,
             route.objective_ms / 1000,
+            self._state.revision,
         )
 
     async def _run_request(self, request, work, started, budget_s):
--- a/dandelionarch/daemon/state_copy.py
+++ b/dandelionarch/daemon/state_copy.py
@@ -99,14 +99,17 @@
             return
         if not self._can_skip_reads():
             await asyncio.sleep(NOTICE_WAIT_S)
-        if notice.revision > self._state.revision and not self._is_asking:
-            event(
-                log,
-                "config_behind",
-                revision=self._state.revision,
-                newer=notice.revision,
-                vm=link.vm_id,
-            )
+        if notice.revision <= self._state.revision:
+            return
+        event(
+            log,
+            "config_behind",
+            revision=self._state.revision,
+            newer=notice.revision,
+            vm=link.vm_id,
+            asks=not self._is_asking,
+        )
+        if not self._is_asking:
             await self._request_state(link)
             if notice.revision > self._state.revision:
                 # The sender did not provide the change, so read it from the store.
--- a/tests/test_decision_lines.py
+++ b/tests/test_decision_lines.py
@@ -14,6 +14,7 @@
 from dandelionarch.daemon.agent import Agent
 from dandelionarch.daemon.decision_log import DecisionLog
 from dandelionarch.daemon.endpoint_watch import GateWatch
+from dandelionarch.ids import Revision
 from tests.test_agent_cancel import FakeNetwork, head
 
 ENDPOINT = Endpoint("w", "vm", "s", "127.0.0.1", 9, 4, 9, 1, state=EndpointState.READY)
@@ -62,15 +63,16 @@
 
 
 class TestRoutingLine:
-    """The log line of a choice contains the compared loads."""
+    """The log line of a choice contains the inputs that decided it."""
 
-    def test_loads_of_the_candidates(self):
+    def test_loads_and_revision(self):
         """Guards against a choice whose reason the log line doesn't show."""
         vm = Vm("vm", "dc", "r", "h", 0, 0, 0, 0, 1)
         cold = Candidate(ENDPOINT, vm, in_flight=1, warmup=0.25)
         decision = select([cold], TwoChoices(), random.Random(1))
-        work = Work("r", "c", "s", "route", "kind", True, 0)
+        work = Work("r", "c", "s", "route", "kind", True, 0, revision=Revision(7))
         log = DecisionLog()
         log.log_choice(work, Dispatch(ENDPOINT, decision))
         ((_, fields),) = log.events_of("r")
         assert fields["loads"] == "w:1.00"
+        assert fields["revision"] == 7
