Send peers the difference between two configurations

Cause: the configuration is one record, 250 KB with 1,400 routes, and a daemon that is behind was sent all of it by the first peer that had it. Over links of 11 Mbit/s the copy took longer than the 0.5 s that the daemon waits, so it read the record from the store as well while the copy still filled its link, and other links fell silent. Class of fault: the cost of spreading a change grows with the state, not with the change.

The answer to a daemon that is behind is now the difference from its revision, compressed by zstd with its record as the dictionary: some 100 bytes for a changed route. A digest guards the result. A query of an earlier version gets the whole record as before.

--- a/dandelionarch/core/messages/registry.py
+++ b/dandelionarch/core/messages/registry.py
@@ -33,18 +33,35 @@
 
     revision: int
     entries: bool = False
+    accepts_delta: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class RecordDelta:
+    """Difference between two revisions of the operator's record, compressed.
+
+    `base` is the revision that `data` is relative to, or 0 for the empty record, and
+    `digest` is the BLAKE2b code of the whole record. There is no difference if `data`
+    is empty.
+    """
+
+    base: int = 0
+    data: bytes = b""
+    digest: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
 class StateAnswer:
     """Reply to `StateQuery`.
 
-    `config` is the operator's record as stored, or empty if it is no newer than the
-    revision in the query.
+    If the sender of the query has the newest configuration, `config` and `delta` are
+    empty. Otherwise `delta` leads to the operator's record if the query accepts one,
+    and `config` is the record as stored if it does not.
     """
 
     config: bytes
     entries: tuple[VmEntry, ...]
+    delta: RecordDelta = RecordDelta()
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/daemon/config_keeper.py
+++ b/dandelionarch/daemon/config_keeper.py
@@ -2,8 +2,9 @@
 
 import logging
 
+from dandelionarch.core.record_delta import RecordHistory
 from dandelionarch.daemon.follower import Follower
-from dandelionarch.errors import ConfigError
+from dandelionarch.errors import ConfigError, DeltaError
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
@@ -25,8 +26,8 @@
 
     Attributes
     ----------
-    value : bytes
-        The active configuration as encoded in the store; empty if there is none.
+    history : RecordHistory
+        The latest active configurations as encoded in the store.
     """
 
     def __init__(
@@ -38,7 +39,7 @@
         rng=None,
         can_skip_reads=lambda: False,
     ):
-        self.value = b""
+        self.history = RecordHistory()
         self.follower = Follower(
             topic, self._on_records, rng=rng, can_skip_reads=can_skip_reads
         )
@@ -68,7 +69,7 @@
         previous = self._routing.revision
         if not self._routing.activate(config):
             return
-        self.value = value
+        self.history.add(config.revision, value)
         event(
             log,
             "config_in_force",
@@ -78,3 +79,19 @@
             source=source,
         )
         self._on_change(config)
+
+    def apply_delta(self, delta, source):
+        """Activate the configuration that a peer's `RecordDelta` leads to."""
+        try:
+            value = self.history.restore(delta)
+        except DeltaError as exc:
+            event(
+                log,
+                "config_delta_unusable",
+                logging.WARNING,
+                source=source,
+                base=delta.base,
+                detail=exc,
+            )
+            return
+        self.apply_record(value, source)
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -328,9 +328,9 @@
         return self.routing.revision
 
     @property
-    def config_value(self):
-        """Return the record of the active configuration, empty if there is none."""
-        return self._config_keeper.value
+    def config_history(self):
+        """Return the `RecordHistory` of the active configurations."""
+        return self._config_keeper.history
 
     def entries(self):
         """Return the known registry entries."""
@@ -340,6 +340,8 @@
         """Apply the configuration and registry entries of a peer's `StateAnswer`."""
         if answer.config:
             self._config_keeper.apply_record(answer.config, vm_id)
+        if answer.delta.data:
+            self._config_keeper.apply_delta(answer.delta, vm_id)
         for entry in answer.entries:
             self.registry.apply_peer_entry(entry)
 
--- a/dandelionarch/daemon/state_copy.py
+++ b/dandelionarch/daemon/state_copy.py
@@ -7,6 +7,7 @@
 
 from dandelionarch.core.messages.registry import (
     ConfigNotice,
+    RecordDelta,
     StateAnswer,
     StateQuery,
 )
@@ -40,7 +41,7 @@
     followers : sequence of Follower
         Peers are asked for a copy while one of these is not available.
     state : object
-        Has `revision`, `config_value` (the active record), `entries()`, and
+        Has `revision`, `config_history` (a `RecordHistory`), `entries()`, and
         `apply_peer_state(answer, vm_id)`.
     rng : random.Random, optional
     is_near : callable, optional
@@ -118,7 +119,7 @@
 
     async def _request_state(self, link, entries=False):
         self._is_asking = True
-        query = StateQuery(self._state.revision, entries)
+        query = StateQuery(self._state.revision, entries, accepts_delta=True)
         try:
             answer = await link.ask(query, ASK_TIMEOUT_S)
         except LinkError as exc:
@@ -130,5 +131,10 @@
 
     def _on_query(self, link, query):
         state = self._state
-        value = state.config_value if state.revision > query.revision else b""
-        return StateAnswer(value, state.entries() if query.entries else ())
+        entries = state.entries() if query.entries else ()
+        config, delta = b"", RecordDelta()
+        if state.revision > query.revision and query.accepts_delta:
+            delta = state.config_history.delta_since(query.revision)
+        elif state.revision > query.revision:
+            config = state.config_history.newest
+        return StateAnswer(config, entries, delta)
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -60,6 +60,10 @@
     """A frame's payload is not a valid message."""
 
 
+class DeltaError(WireError):
+    """A peer's difference between two records can't be applied."""
+
+
 class LinkError(DandelionError):
     """A link to another daemon can't carry a message."""
 
--- a/dandelionarch/wire/registry.capnp
+++ b/dandelionarch/wire/registry.capnp
@@ -17,11 +17,19 @@
 struct StateQuery {
   revision @0 :UInt64;
   entries @1 :Bool;
+  acceptsDelta @2 :Bool;
+}
+
+struct RecordDelta {
+  base @0 :UInt64;
+  data @1 :Data;
+  digest @2 :Data;
 }
 
 struct StateAnswer {
   config @0 :Data;
   entries @1 :List(VmEntry);
+  delta @2 :RecordDelta;
 }
 
 struct ConfigNotice {
--- a/tests/test_state_copy.py
+++ b/tests/test_state_copy.py
@@ -5,9 +5,11 @@
 
 from dandelionarch.core.messages.registry import (
     ConfigNotice,
+    RecordDelta,
     StateAnswer,
     StateQuery,
 )
+from dandelionarch.core.record_delta import RecordHistory
 from dandelionarch.daemon import state_copy
 from dandelionarch.daemon.state_copy import (
     MAX_FAR_NOTICES,
@@ -52,7 +54,9 @@
 
     def __init__(self):
         self.revision = 7
-        self.config_value = b"seven"
+        self.config_history = RecordHistory()
+        self.config_history.add(6, b"six")
+        self.config_history.add(7, b"seven")
         self.applied = []
 
     def entries(self):
@@ -92,7 +96,7 @@
         """
         state, link = self.deliver_notice(monkeypatch, 9)
         assert state.applied == [(b"newer", "vm-b")]
-        assert link.asked == [StateQuery(7)]
+        assert link.asked == [StateQuery(7, accepts_delta=True)]
 
     def test_own_read_in_time_avoids_the_request(self, monkeypatch):
         """Guards against a request to a peer by every daemon at every change."""
@@ -145,10 +149,23 @@
 
     def test_answer_holds_only_a_newer_configuration(self):
         """Guards against sending the configuration to a daemon that has it."""
+        network, state = FakeNetwork(), State()
+        StateCopier(network, [], state)
+        answer = network.handlers[StateQuery]
+        reply = answer(FakeLink(), StateQuery(6, accepts_delta=True))
+        assert reply.config == b""
+        assert state.config_history.restore(reply.delta) == b"seven"
+        reply = answer(FakeLink(), StateQuery(7, accepts_delta=True))
+        assert reply.config == b""
+        assert reply.delta == RecordDelta()
+
+    def test_whole_record_for_a_daemon_that_accepts_no_difference(self):
+        """Guards against an answer that a daemon of an earlier version can't read."""
         network = FakeNetwork()
         StateCopier(network, [], State())
         answer = network.handlers[StateQuery]
         assert answer(FakeLink(), StateQuery(6)).config == b"seven"
+        assert answer(FakeLink(), StateQuery(6)).delta == RecordDelta()
         assert answer(FakeLink(), StateQuery(7)).config == b""
 
     def test_entries_are_sent_only_on_request(self):
