Announce the configuration over each link that opens

Cause: it reads the newest record once, and then no more while it is linked to three daemons that read for it; a change is announced once, over the links that are open at that moment. A change between the first read and the opening of the links reached nobody. Class of fault: events without a comparison of states when a subscription begins.

Both sides of a link now tell their revision when it opens, as they tell their entries and loads.

test_change_during_the_start_is_applied failed before: the daemon that joins still has the old configuration 2 s after its links opened.

--- a/dandelionarch/daemon/state_copy.py
+++ b/dandelionarch/daemon/state_copy.py
@@ -68,6 +68,7 @@
         self._is_asking = False
         network.subscribe(StateQuery, self._on_query)
         network.subscribe(ConfigNotice, self._on_notice)
+        network.subscribe_link_opened(self._send_notice)
 
     async def run(self):
         """Ask random peers for their state while the store is unreachable."""
@@ -87,10 +88,17 @@
         recipients = self._sample(near, MAX_NEAR_NOTICES) + self._sample(
             far, MAX_FAR_NOTICES
         )
-        notice = ConfigNotice(self._state.revision)
         for link in recipients:
-            with contextlib.suppress(LinkError):
-                link.send(notice)
+            self._send_notice(link)
+
+    def _send_notice(self, link):
+        """Announce the active revision over one link.
+
+        A link that opens needs this as well, as changes that were announced before are
+        not announced again.
+        """
+        with contextlib.suppress(LinkError):
+            link.send(ConfigNotice(self._state.revision))
 
     def _sample(self, links, count):
         return self._rng.sample(links, min(count, len(links)))
--- a/tests/test_config_followers.py
+++ b/tests/test_config_followers.py
@@ -1,11 +1,13 @@
-"""Load on the store when the configuration changes for all daemons at once.
+"""A change of the configuration reaches all daemons, though only a few read the store.
 
 The operator changes the configuration several times within seconds, in a fleet of 60
-daemons in three data centres; the daemons that read the store may be lost.
+daemons in three data centres; the daemons that read the store may be lost, and daemons
+start during a change.
 """
 
 import asyncio
 
+from dandelionarch.core.keyed_log import KeyedLog
 from dandelionarch.core.placement import FOLLOWERS_PER_DATA_CENTRE
 from tests.support.config_fleet import Daemon, config_record, stop
 from tests.support.memory_log import MemoryLog
@@ -16,6 +18,27 @@
 CHANGES = 5
 # Every daemon has to apply a change within this time.
 APPLY_LIMIT_S = 2.0
+# Time between the store's answer to the first read of a daemon that starts and the
+# moment at which the daemon has processed it.
+START_DELAY_S = 0.3
+
+
+class DelayedTopic(KeyedLog):
+    """A topic whose newest records are processed after `START_DELAY_S`."""
+
+    def __init__(self, topic):
+        self._topic = topic
+
+    async def newest(self):
+        batch = await self._topic.newest()
+        await asyncio.sleep(START_DELAY_S)
+        return batch
+
+    async def read(self, offset, wait_s):
+        return await self._topic.read(offset, wait_s)
+
+    async def append(self, record):
+        await self._topic.append(record)
 
 
 async def start(topic):
@@ -76,3 +99,30 @@
             await stop(fleet)
 
         run_virtual(main())
+
+
+class TestJoining:
+    """A daemon that starts during a change applies it."""
+
+    def test_change_during_the_start_is_applied(self):
+        """Guards against an old configuration at a daemon that starts during a change.
+
+        The change is appended after the daemon's first read and announced before the
+        daemon's links open. Linked to enough readers, it reads no more itself.
+        """
+
+        async def main():
+            topic = MemoryLog()
+            fleet = await start(topic)
+            joiner = Daemon(fleet, DelayedTopic(topic), "dc0", DAEMONS_PER_DATA_CENTRE)
+            joiner.start()
+            await asyncio.sleep(START_DELAY_S / 3)
+            await topic.append(config_record(2))
+            await wait_for_revision(fleet, 2)
+            joiner.join()
+            assert joiner.can_skip_reads()
+            assert joiner.revision < 2
+            await wait_for_revision(fleet, 2)
+            await stop(fleet)
+
+        run_virtual(main())
--- a/tests/test_state_copy.py
+++ b/tests/test_state_copy.py
@@ -41,10 +41,14 @@
     def __init__(self, links=()):
         self.links = list(links)
         self.handlers = {}
+        self.link_handlers = []
 
     def subscribe(self, msg_type, handler):
         self.handlers[msg_type] = handler
 
+    def subscribe_link_opened(self, handler):
+        self.link_handlers.append(handler)
+
     def all_links(self):
         return self.links
 
