Ask for a revision that is announced while another is asked for

A daemon that asked a peer for its configuration ignored the notices that came meanwhile. Each peer announces a change once, and the peer that was asked may have replied before it had the newer change, so a change in a quick series could be missed until the next one or the next read, up to 20 s later.

The newest announcement is now kept and asked for after the answer.

--- a/dandelionarch/daemon/state_copy.py
+++ b/dandelionarch/daemon/state_copy.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+from dataclasses import dataclass
 
 from dandelionarch.core.messages.registry import (
     ConfigNotice,
@@ -27,6 +28,17 @@
 NOTICE_WAIT_S = 0.3
 
 
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """A revision that a peer has announced, and the link to that peer."""
+
+    revision: int
+    link: object
+
+
+NOTHING_ANNOUNCED = Announcement(0, None)
+
+
 class StateCopier:
     """Fetches from peers the state that this daemon's own reads of the store miss.
 
@@ -66,6 +78,7 @@
         self._is_near = is_near
         self._can_skip_reads = can_skip_reads
         self._is_asking = False
+        self._announced = NOTHING_ANNOUNCED
         network.subscribe(StateQuery, self._on_query)
         network.subscribe(ConfigNotice, self._on_notice)
         network.subscribe_link_opened(self._send_notice)
@@ -79,6 +92,7 @@
             links = self._network.all_links()
             if links:
                 await self._request_state(self._rng.choice(links), entries=True)
+                await self._catch_up()
 
     def send_notices(self):
         """Announce the active revision to a random sample of peers."""
@@ -118,9 +132,21 @@
             vm=link.vm_id,
             asks=not self._is_asking,
         )
+        if notice.revision > self._announced.revision:
+            self._announced = Announcement(notice.revision, link)
         if not self._is_asking:
-            await self._request_state(link)
-            if notice.revision > self._state.revision:
+            await self._catch_up()
+
+    async def _catch_up(self):
+        """Ask for the newest announced revision until this daemon has it.
+
+        A notice that arrives during a question is answered by the next question, as
+        the peer that is asked may have replied before it had that revision.
+        """
+        while self._announced.revision > self._state.revision:
+            announced, self._announced = self._announced, NOTHING_ANNOUNCED
+            await self._request_state(announced.link)
+            if announced.revision > self._state.revision:
                 # The sender did not provide the change, so read it from the store.
                 for follower in self._followers:
                     follower.read_soon()
--- a/tests/test_state_copy.py
+++ b/tests/test_state_copy.py
@@ -125,6 +125,38 @@
         assert are_near.count(True) == MAX_NEAR_NOTICES
         assert are_near.count(False) == MAX_FAR_NOTICES
 
+    def test_notice_during_a_question_is_followed_by_another(self):
+        """Guards against missing a change announced while a peer is asked.
+
+        Each peer announces a change once, and the one that is asked may have replied
+        before it had the newer change.
+        """
+
+        class SlowLink(FakeLink):
+            def __init__(self, vm_id, state, revision):
+                super().__init__(vm_id)
+                self._state, self._revision = state, revision
+
+            async def ask(self, msg, timeout_s):
+                self.asked.append(msg)
+                await asyncio.sleep(0.01)
+                self._state.revision = self._revision
+                return StateAnswer(b"", ())
+
+        network, state = FakeNetwork(), State()
+        StateCopier(network, [], state, can_skip_reads=lambda: True)
+        first, second = SlowLink("vm-b", state, 9), SlowLink("vm-c", state, 11)
+
+        async def main():
+            handle = network.handlers[ConfigNotice]
+            await asyncio.gather(
+                handle(first, ConfigNotice(9)), handle(second, ConfigNotice(11))
+            )
+
+        asyncio.run(main())
+        assert [query.revision for query in first.asked + second.asked] == [7, 9]
+        assert state.revision == 11
+
     def test_daemon_that_skips_reads_asks_at_once(self):
         """Guards against waiting for a read that this daemon does not make."""
         network, state, link = FakeNetwork(), State(), FakeLink()
