Begin with short reads of the store after each change

A daemon could miss a change of the configuration for up to 25 s while its read of the store seemed to wait for it. Cause, by trace: the store does not wake a read that begins while a record is being written; it answers such a read with the next record or at the end of its wait. A large record takes the store 1.1 s, and all readers begin their next read after the same change, so all can miss the next one. Class of fault: trust in an event that may be lost.

Reads of the configuration wait 0.5 s after each change and twice as long, with a random spread, each time nothing came, up to 25 s as before.

--- a/dandelionarch/daemon/config_keeper.py
+++ b/dandelionarch/daemon/config_keeper.py
@@ -9,6 +9,9 @@
 
 log = logging.getLogger(__name__)
 
+# A change is to be in force within 2 s; copies between daemons take a part of that.
+FIRST_POLL_S = 0.5
+
 
 class ConfigKeeper:
     """Activates the newest configuration that the store or a peer has.
@@ -41,7 +44,11 @@
     ):
         self.history = RecordHistory()
         self.follower = Follower(
-            topic, self._on_records, rng=rng, can_skip_reads=can_skip_reads
+            topic,
+            self._on_records,
+            rng=rng,
+            can_skip_reads=can_skip_reads,
+            first_poll_s=FIRST_POLL_S,
         )
         self._format = config_format
         self._routing = routing
--- a/dandelionarch/daemon/follower.py
+++ b/dandelionarch/daemon/follower.py
@@ -12,6 +12,10 @@
 log = logging.getLogger(__name__)
 
 LONG_POLL_S = 25.0
+# Factor between the waits of two successive reads without records, with a random spread
+# that keeps the reads of many daemons from beginning at the same time.
+POLL_GROWTH = 2.0
+POLL_SPREAD = (0.8, 1.2)
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
 SKIP_CHECK_S = 0.25
@@ -42,6 +46,10 @@
     can_skip_reads : callable, optional
         Returns True while peers read the topic and announce its changes, so that this
         daemon need not read it. By default it always reads.
+    first_poll_s : float, optional
+        Wait in seconds of the first read after a batch; it grows with each read without
+        records. The store may not answer a read that begins while a record is written
+        before the next record or the end of the read's wait.
 
     Attributes
     ----------
@@ -52,7 +60,13 @@
     """
 
     def __init__(
-        self, topic, on_records, pause_s=0.0, rng=None, can_skip_reads=lambda: False
+        self,
+        topic,
+        on_records,
+        pause_s=0.0,
+        rng=None,
+        can_skip_reads=lambda: False,
+        first_poll_s=LONG_POLL_S,
     ):
         self._topic = topic
         self._on_records = on_records
@@ -60,6 +74,8 @@
         self._rng = rng or random.Random()
         self._offset = None
         self._can_skip_reads = can_skip_reads
+        self._first_poll_s = first_poll_s
+        self._poll_s = first_poll_s
         self._read_requested = asyncio.Event()
         self.available = False
         self.caught_up = asyncio.Event()
@@ -128,8 +144,15 @@
 
     async def _read_batch(self) -> Batch:
         if self._offset is None:
+            self._poll_s = self._first_poll_s
             return await self._topic.newest()
-        return await self._topic.read(self._offset, LONG_POLL_S)
+        batch = await self._topic.read(self._offset, self._poll_s)
+        self._poll_s = self._first_poll_s if batch.records else self._longer_poll_s()
+        return batch
+
+    def _longer_poll_s(self):
+        growth = POLL_GROWTH * self._rng.uniform(*POLL_SPREAD)
+        return min(LONG_POLL_S, growth * self._poll_s)
 
     def _on_store_lost(self, exc):
         if self.available or not self.caught_up.is_set():
--- a/tests/test_config_followers.py
+++ b/tests/test_config_followers.py
@@ -21,6 +21,8 @@
 # Time between the store's answer to the first read of a daemon that starts and the
 # moment at which the daemon has processed it.
 START_DELAY_S = 0.3
+# The store takes this long to write a large record.
+APPEND_S = 1.1
 
 
 class DelayedTopic(KeyedLog):
@@ -41,6 +43,19 @@
         await self._topic.append(record)
 
 
+class BusyLog(MemoryLog):
+    """A topic whose appends take `APPEND_S`.
+
+    An append answers only the reads that waited when it began.
+    """
+
+    async def append(self, record):
+        waiting, self._record_appended = self._record_appended, asyncio.Event()
+        await asyncio.sleep(APPEND_S)
+        self._records.append(record)
+        waiting.set()
+
+
 async def start(topic):
     """Return a fleet whose daemons have all applied the first configuration."""
     fleet = {}
@@ -126,3 +141,36 @@
             await stop(fleet)
 
         run_virtual(main())
+
+
+class TestReadDuringAnAppend:
+    """A read that begins during an append does not hold up the change."""
+
+    def play(self, start_s):
+        """Start a daemon `start_s` seconds into an append; return its revision.
+
+        It has no peers. The revision is that of `APPLY_LIMIT_S` after the append.
+        """
+
+        async def main():
+            topic, fleet = BusyLog(), {}
+            await topic.append(config_record(1))
+            daemon = Daemon(fleet, topic, "dc0", 0)
+            daemon.join()
+            appending = asyncio.create_task(topic.append(config_record(2)))
+            await asyncio.sleep(start_s)
+            daemon.start()
+            await appending
+            await asyncio.sleep(APPLY_LIMIT_S)
+            await stop(fleet)
+            return daemon.revision
+
+        return run_virtual(main())
+
+    def test_change_during_the_first_read_is_applied(self):
+        """Guards against a long read that is answered only with the next change.
+
+        The platform's store does not wake a read that begins while a record is written.
+        """
+        starts = [0.0, APPEND_S / 2, 0.9 * APPEND_S]
+        assert [self.play(start_s) for start_s in starts] == [2, 2, 2]
