Keep the rate of requests that an endpoint names

An endpoint in need names in its answers the requests a second that it takes from all VMs together; it got up to two and a half times as many as the rule allows. Cause: nothing read the limit, an agent sent what the slots hold. Class of fault: a limit of a shared resource without an owner.

The endpoint's agent, which every request passes, spaces the starts by the limit. Its queue predicts waits with it, so that what would start too late is refused at once and busy endpoints send work elsewhere. Load reports tell the limit and the share of the slots that it keeps busy. Requests carry the limit that their ingress knows, as an agent forgets it when its daemon restarts.

--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -1,5 +1,6 @@
 """Admission queues in front of the slots of an endpoint, kept by its agent."""
 
+import itertools
 import math
 from abc import ABC, abstractmethod
 from bisect import insort
@@ -8,6 +9,7 @@
 
 from dandelionarch.core.costs import CostModel
 from dandelionarch.core.mechanisms import Mechanism
+from dandelionarch.core.pacing import Pacer
 
 # One second of waiting offsets one second of cost, so a long request precedes a short
 # one that arrived later by more than the difference of their costs.
@@ -199,11 +201,17 @@
     queue_limit : int
         Requests that may wait.
     rules : QueueRules
+
+    Attributes
+    ----------
+    pacer : Pacer
+        Spaces the starts of requests while the endpoint limits their rate.
     """
 
     def __init__(self, slots, costs=None, queue_limit=256, rules=None):
         super().__init__(slots)
         self.costs = costs or CostModel()
+        self.pacer = Pacer()
         self.queue_limit = queue_limit
         self.rules = rules or QueueRules()
         self._waiting = []
@@ -229,7 +237,7 @@
         may_wait=True,
     ):
         job = self._make_job(item, now, key, deadline, priority)
-        if self._can_start(job):
+        if self._can_start(job, now):
             # Uses a free slot unless the request would most likely end too late: one
             # slow first run must not exclude its kind of work permanently.
             if self.rules.refuse_late and now + self.costs.kind_median(key) > deadline:
@@ -253,7 +261,27 @@
         if answered:
             # The duration of an unanswered run is the caller's wait and not a cost.
             self.costs.observe(job.key, now - job.started)
-        return self._start_next(now)
+        return self.start_next(now)
+
+    def start_next(self, now):
+        """Start and return a waiting request; return None if none may start yet."""
+        self._drop_late(now)
+        for job in self._waiting:
+            if self._can_start(job, now):
+                self.withdraw(job.item)
+                self._start(job, now)
+                return job.item
+        return None
+
+    def paced_start_at(self):
+        """Return when the pace lets the next waiting request start; None without one.
+
+        It is a time in seconds. None is returned as well if the request waits for a
+        slot, whose end starts it.
+        """
+        if not self._waiting or self.running >= self.slots or not self.pacer.is_limited:
+            return None
+        return self.pacer.due_at()
 
     def take_evicted(self):
         evicted, self._evicted = self._evicted, []
@@ -263,7 +291,8 @@
         """Return the expected time in seconds to finish running and waiting work."""
         work_s = sum(job.cost_s for job in self._waiting)
         work_s += sum(self._remaining_s(job, now) for job in self._running.values())
-        return max(MIN_RETRY_AFTER_S, work_s / self.slots)
+        paced_at = next(itertools.islice(self.pacer.due_times(), self.queued, None))
+        return max(MIN_RETRY_AFTER_S, work_s / self.slots, paced_at - now)
 
     def _make_job(self, item, now, key, deadline, priority):
         self._sequence += 1
@@ -280,8 +309,8 @@
             job.sort_key = (cost_s, deadline, self._sequence)
         return job
 
-    def _can_start(self, job):
-        if self.running >= self.slots:
+    def _can_start(self, job, now):
+        if self.running >= self.slots or self.pacer.due_at() > now:
             return False
         return not job.long or self._long_running < self._max_long_running
 
@@ -290,15 +319,7 @@
         self._running[job.item] = job
         self.running += 1
         self._long_running += job.long
-
-    def _start_next(self, now):
-        self._drop_late(now)
-        for job in self._waiting:
-            if self._can_start(job):
-                self.withdraw(job.item)
-                self._start(job, now)
-                return job.item
-        return None
+        self.pacer.on_request(now)
 
     def _drop_late(self, now):
         if not self.rules.refuse_late:
@@ -366,8 +387,10 @@
         free = [now] * (self.slots - self.running) + [end for end, _ in ends]
         long_ends = [end for end, long in ends if long]
         starts = {}
+        due_times = self.pacer.due_times()
+        due_at = next(due_times)
         for job in waiting:
-            start = min(free)
+            start = max(min(free), due_at)
             later_long_ends = sorted(t for t in long_ends if t > start)
             if job.long and len(later_long_ends) >= self._max_long_running:
                 start = later_long_ends[-self._max_long_running]
@@ -376,6 +399,7 @@
             if self.rules.refuse_late and latest > job.deadline:
                 continue
             starts[job] = start
+            due_at = next(due_times)
             free[free.index(max(t for t in free if t <= start))] = end
             if job.long:
                 long_ends.append(end)
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -20,7 +20,8 @@
     endpoint. `repeats` means that another endpoint may have received the request
     before, `last_resort` that the ingress knows no endpoint with an open gate. If
     `confirms` is set, the agent announces a slot by `SlotReady` and runs the request
-    only after `Start`.
+    only after `Start`. `rate_per_s` is the limit that the endpoint is known to name on
+    the requests per second, or 0 if there is none.
     """
 
     attempt_id: int
@@ -41,6 +42,7 @@
     repeats: bool = False
     last_resort: bool = False
     confirms: bool = False
+    rate_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +56,12 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Load of an endpoint as measured by its agent, attached to every reply."""
+    """Load of an endpoint as measured by its agent, attached to every reply.
+
+    `warmup` is the share of its slots that the endpoint can use, and `rate_per_s` the
+    limit that it names on the requests per second: infinite if there is none, and 0 as
+    long as the agent does not know.
+    """
 
     endpoint_id: str
     running: int
@@ -62,6 +69,7 @@
     slots: int
     health: str
     warmup: float
+    rate_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -39,22 +39,31 @@
 
 
 class LocalEndpoint:
-    """An endpoint of this VM with the queue for its slots."""
+    """An endpoint of this VM with the queue for its slots.
+
+    Attributes
+    ----------
+    start_timer : asyncio.TimerHandle or None
+        Starts waiting requests when the limit on their rate allows the next one.
+    """
 
     def __init__(self, endpoint, off=frozenset()):
         self.endpoint = endpoint
         self.queue = CostQueue(endpoint.slots, rules=QueueRules.without(off))
+        self.start_timer = None
         self._warms_up = Mechanism.WARM_UP not in off
 
     def load(self):
         """Return the `LoadReport` that is attached to each reply."""
+        pacer = self.queue.pacer
         return msgs.LoadReport(
             self.endpoint.endpoint_id,
             self.queue.running,
             self.queue.queued,
             self.endpoint.slots,
             self.endpoint.health.value,
-            self._warmup(),
+            min(self._warmup(), self._paced_share()),
+            pacer.rate_per_s if pacer.is_known else 0.0,
         )
 
     def _warmup(self):
@@ -62,6 +71,13 @@
             return 1.0
         return warmup_ramp(time.time() - self.endpoint.incarnation / 1000)
 
+    def _paced_share(self):
+        """Return the share of the slots that the limit on requests keeps busy."""
+        median_s = self.queue.costs.median()
+        if median_s is None or not self.queue.pacer.is_limited:
+            return 1.0
+        return min(1.0, self.queue.pacer.rate_per_s * median_s / self.endpoint.slots)
+
 
 class Agent:
     """Admits attempts to the endpoints of this VM, runs them and relays the answers.
@@ -179,6 +195,8 @@
         if reason is None:
             now = asyncio.get_running_loop().time()
             deadline = now + head.budget_ms / 1000
+            if head.rate_per_s:
+                local.queue.pacer.assume(head.rate_per_s)
             verdict = local.queue.offer(
                 run, now, head.route, deadline, head.priority, head.may_wait
             )
@@ -192,6 +210,8 @@
         link.begin_request()
         if verdict == "run":
             run.started.set()
+        else:
+            self._schedule_start(local)
         run.task = asyncio.get_running_loop().create_task(self._run(run, local))
         # A task that is cancelled before its first step never runs its `finally`.
         run.task.add_done_callback(lambda _: self._on_run_done(run, local))
@@ -315,6 +335,26 @@
         if next_run is not None:
             next_run.started.set()
         self._refuse_evicted(local)
+        self._schedule_start(local)
+
+    def _schedule_start(self, local):
+        """Start the next waiting request when the limit on their rate allows it."""
+        start_at = local.queue.paced_start_at()
+        if start_at is None or local.start_timer is not None:
+            return
+        loop = asyncio.get_running_loop()
+        local.start_timer = loop.call_at(start_at, self._start_waiting, local)
+
+    def _start_waiting(self, local):
+        """Start the waiting requests that may start now, and schedule the next."""
+        if local.start_timer is not None:
+            local.start_timer.cancel()
+            local.start_timer = None
+        now = asyncio.get_running_loop().time()
+        while (run := local.queue.start_next(now)) is not None:
+            run.started.set()
+        self._refuse_evicted(local)
+        self._schedule_start(local)
 
     async def _call(self, run, local, deadline):
         endpoint = local.endpoint
@@ -381,12 +421,14 @@
         head = run.head
         loop = asyncio.get_running_loop()
         data = head.data if head.last else run.body_chunks()
-        budget_ms = max(1, int((deadline - loop.time()) * 1000))
+        sent_at = loop.time()
+        budget_ms = max(1, int((deadline - sent_at) * 1000))
         answer = await self._endpoint_pool.open(
             run.call, local.endpoint, head, data, budget_ms
         )
         is_complete = False
         try:
+            self._apply_conditions(local, answer, sent_at)
             if self._endpoint_pool.is_refusal(answer):
                 return Reason.WORKER_REFUSED
             await self._relay_answer(run, local, answer)
@@ -396,6 +438,24 @@
             # Only a connection whose exchange is complete may be reused.
             answer.end(reusable=is_complete)
 
+    def _apply_conditions(self, local, answer, sent_at):
+        """Apply what an answer says of the work that the endpoint takes."""
+        conditions = self._endpoint_pool.conditions(answer)
+        if conditions is None:
+            return
+        pacer, now = local.queue.pacer, asyncio.get_running_loop().time()
+        before = pacer.rate_per_s
+        if pacer.on_answer(conditions.rate_per_s, sent_at, now):
+            event(
+                log,
+                "rate_limit_changed",
+                endpoint=local.endpoint.endpoint_id,
+                rate_per_s=pacer.rate_per_s,
+            )
+            self.broadcast_load(local.endpoint)
+        if pacer.rate_per_s != before:
+            self._start_waiting(local)
+
     async def _relay_answer(self, run, local, answer):
         attempt_id = run.head.attempt_id
         first, last = await answer.read(CHUNK_BYTES)
--- a/dandelionarch/daemon/attempts.py
+++ b/dandelionarch/daemon/attempts.py
@@ -73,6 +73,7 @@
                 command.repeats,
                 command.decision.last_resort,
                 not stream.may_run,
+                self._views.rate_per_s(stream.endpoint_id),
             )
         )
         if not inline:
--- a/dandelionarch/daemon/endpoint_connections.py
+++ b/dandelionarch/daemon/endpoint_connections.py
@@ -282,6 +282,10 @@
             raise
         return answer
 
+    def conditions(self, answer):
+        """Return the `EndpointConditions` in an answer; None if unreadable."""
+        return self._dialect.conditions(answer.headers)
+
     def is_refusal(self, answer):
         """Return True if the answer states that the request was not run."""
         return self._dialect.is_refusal(answer.status, answer.headers)
--- a/dandelionarch/daemon/endpoint_dialect.py
+++ b/dandelionarch/daemon/endpoint_dialect.py
@@ -16,6 +16,19 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class EndpointConditions:
+    """Conditions that an endpoint states in an answer.
+
+    Attributes
+    ----------
+    rate_per_s : float or None
+        Requests per second that the endpoint takes at most; None without a limit.
+    """
+
+    rate_per_s: float | None = None
+
+
 class EndpointDialect(ABC):
     """Base class for the header fields between a daemon and an endpoint.
 
@@ -45,6 +58,10 @@
         """Return the `EndpointIdentity` in a status response, or None."""
         return None
 
+    def conditions(self, fields):
+        """Return the `EndpointConditions` in an answer; None if they are unreadable."""
+        return EndpointConditions()
+
     def check_response(self, status, fields, head):
         """Raise `BrokenAnswerError` if a response can't belong to the request."""
         answered_id = fields.get(self.request_id_field, head.request_id)
--- a/dandelionarch/daemon/endpoint_views.py
+++ b/dandelionarch/daemon/endpoint_views.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -87,6 +88,7 @@
         self._rules = rules
         self._in_flight = {}
         self._loads = {}
+        self._rates_per_s = {}
         self._refusals = RefusalBackoff()
         self._link_backoff = LinkBackoff()
         self._invites = TrialInvites()
@@ -141,6 +143,13 @@
             # counts as full.
             cand.age_s, cand.reported = 0.0, cand.endpoint.slots
 
+    def rate_per_s(self, endpoint_id):
+        """Return the limit that an endpoint names, 0 if there is none.
+
+        Its agent does not know the limit after a restart.
+        """
+        return self._rates_per_s.get(endpoint_id, 0.0)
+
     def add_in_flight(self, endpoint_id, change):
         """Add `change` to the number of own requests in flight at an endpoint."""
         if change > 0:
@@ -157,10 +166,17 @@
         others = max(0, report.running + report.queued - own)
         received = ReceivedLoad(asyncio.get_running_loop().time(), report, others)
         self._loads[report.endpoint_id] = received
+        self._store_rate(report)
         if self._rules.gates_broadcast:
             self._mark_health(report.endpoint_id, Health(report.health))
         self.on_load(report)
 
+    def _store_rate(self, report):
+        if math.isinf(report.rate_per_s):
+            self._rates_per_s.pop(report.endpoint_id, None)
+        elif report.rate_per_s:
+            self._rates_per_s[report.endpoint_id] = report.rate_per_s
+
     def _mark_health(self, endpoint_id, health):
         known = self._directory.endpoints.get(endpoint_id)
         opened = known is not None and known.health is not health is Health.HEALTHY
--- a/dandelionarch/platform/http_fields.py
+++ b/dandelionarch/platform/http_fields.py
@@ -1,15 +1,25 @@
 """HTTP header fields of the platform's callers and endpoints."""
 
+import logging
+import re
+
 from dandelionarch.core.messages.request import Header
 from dandelionarch.daemon.callers import (
     CallerProtocol,
     Customer,
     problem_json,
 )
-from dandelionarch.daemon.endpoint_dialect import EndpointDialect, EndpointIdentity
+from dandelionarch.daemon.endpoint_dialect import (
+    EndpointConditions,
+    EndpointDialect,
+    EndpointIdentity,
+)
 from dandelionarch.daemon.headers import end_to_end
 from dandelionarch.errors import BadRequestError, BrokenAnswerError
 from dandelionarch.ids import EndpointId
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
 
 REQUEST_ID = "X-Request-Id"
 # Time in ms for which the caller waits, counted from the arrival of the request.
@@ -22,9 +32,12 @@
 INSTANCE_ID = "X-Instance-Id"
 # Numbers of running requests, waiting requests and slots, separated by commas.
 SERVER_LOAD = "X-Server-Load"
+# Requests per second that the endpoint takes from all daemons together.
+SERVER_LIMIT = "Server-Limit"
 # Signature of the endpoint, without which an answer is not valid.
 RESPONSE_STAMP = "X-Response-Stamp"
 STATUS_MISDIRECTED = 421
+DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # One day; a field with a longer time is malformed.
 MAX_DEADLINE_MS = 86_400_000
 
@@ -114,6 +127,15 @@
             return None
         return EndpointIdentity(EndpointId(endpoint_id), int(slots))
 
+    def conditions(self, fields):
+        text = fields.get(SERVER_LIMIT)
+        if text is None:
+            return EndpointConditions()
+        if not DECIMAL.fullmatch(text):
+            event(log, "rate_limit_unreadable", logging.WARNING, value=text)
+            return None
+        return EndpointConditions(float(text))
+
     def check_response(self, status, fields, head):
         super().check_response(status, fields, head)
         if status < 300 and RESPONSE_STAMP not in fields:
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -12,6 +12,7 @@
   slots @3 :UInt32;
   health @4 :Text;
   warmup @5 :Float32;
+  ratePerS @6 :Float32;
 }
 
 struct RequestHead {
@@ -33,6 +34,7 @@
   repeats @15 :Bool;
   lastResort @16 :Bool;
   confirms @17 :Bool;
+  ratePerS @18 :Float32;
 }
 
 struct RequestChunk {
--- /dev/null
+++ b/tests/test_pacing.py
@@ -0,0 +1,128 @@
+"""Pace of the requests to an endpoint that limits their rate."""
+
+import math
+from bisect import bisect_left
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from dandelionarch.core.admission import CostQueue
+from dandelionarch.core.pacing import BURST, MIN_RATE_PER_S, Pacer
+
+# An endpoint gets at most one and a half times its limit, and 5 requests, in any 4 s.
+WINDOW_S = 4.0
+SLACK_FACTOR = 1.5
+SLACK = 5
+SLOTS = 8
+WORK_S = 0.3
+
+
+def named(rate_per_s, at=0.0):
+    """Return a pacer to which an endpoint has named a limit."""
+    pacer = Pacer()
+    pacer.on_answer(rate_per_s, at, at)
+    return pacer
+
+
+def most_in_a_window(times):
+    """Return the greatest number of sorted times within `WINDOW_S`."""
+    return max(
+        bisect_left(times, start + WINDOW_S) - number
+        for number, start in enumerate(times)
+    )
+
+
+class TestLimit:
+    """The limit holds from the answer that names it to one that does not."""
+
+    def test_end_of_the_limit(self):
+        """Guards against an older answer that ends a limit, and one that never ends."""
+        pacer = named(2.0, at=1.0)
+        assert not pacer.on_answer(None, sent_at=0.9, now=1.1)
+        assert pacer.rate_per_s == 2.0
+        assert pacer.on_answer(None, sent_at=1.1, now=1.3)
+        assert pacer.rate_per_s == math.inf
+        assert pacer.due_at() == -math.inf
+
+    def test_assumed_limit_gives_way_to_answers(self):
+        """Guards against a peer's older knowledge of a limit that has ended."""
+        pacer = Pacer()
+        pacer.assume(2.0)
+        assert pacer.rate_per_s == 2.0
+        pacer.on_answer(None, sent_at=0.1, now=0.2)
+        pacer.assume(2.0)
+        assert not pacer.is_limited
+
+    def test_limit_of_zero(self):
+        """Guards against an endpoint that is never asked again."""
+        assert named(0.0).rate_per_s == MIN_RATE_PER_S
+
+    @given(st.floats(0.1, 50.0), st.lists(st.floats(0.0, 0.5), max_size=200))
+    def test_requests_in_any_window(self, rate_per_s, gaps):
+        """Guards against more requests than the endpoint takes."""
+        pacer, now, times = named(rate_per_s), 0.0, []
+        for gap in gaps:
+            now += gap
+            if pacer.due_at() <= now:
+                pacer.on_request(now)
+                times.append(now)
+        limit = WINDOW_S * pacer.rate_per_s + BURST
+        assert not times or most_in_a_window(times) <= limit + 1e-6
+
+
+class TestQueue:
+    """Slots are taken as the pace allows."""
+
+    def play(self, rate_per_s, offered_per_s, seconds):
+        """Offer requests at a rate; return (start times, refusals, queue)."""
+        queue, now, starts, refused = CostQueue(SLOTS), 0.0, [], 0
+        queue.pacer.on_answer(rate_per_s, 0.0, 0.0)
+        ends = []
+        for item in range(int(seconds * offered_per_s)):
+            now = item / offered_per_s
+            for end in [e for e in ends if e[0] <= now]:
+                ends.remove(end)
+                following = queue.finish(end[1], end[0])
+                if following is not None:
+                    starts.append(end[0])
+                    ends.append((end[0] + WORK_S, following))
+            while (following := queue.start_next(now)) is not None:
+                starts.append(now)
+                ends.append((now + WORK_S, following))
+            verdict = queue.offer(item, now, "k", now + 1.5)
+            if verdict == "run":
+                starts.append(now)
+                ends.append((now + WORK_S, item))
+            refused += verdict == "refuse"
+            refused += len(queue.take_evicted())
+        return starts, refused, queue
+
+    @pytest.mark.parametrize("rate_per_s", [1.0, 2.8, 10.0])
+    def test_limited_endpoint_under_overload(self, rate_per_s):
+        """Guards against filling the slots of an endpoint that has named a limit.
+
+        The endpoint still gets the rate that it takes.
+        """
+        starts, refused, _ = self.play(rate_per_s, offered_per_s=40.0, seconds=20.0)
+        assert most_in_a_window(starts) <= WINDOW_S * SLACK_FACTOR * rate_per_s + SLACK
+        assert len(starts) >= 0.95 * 20.0 * rate_per_s
+        assert refused >= 800 - len(starts) - 10 * rate_per_s
+
+    def test_requests_that_would_wait_too_long_are_refused_at_once(self):
+        """Guards against holding a request for a start after its deadline."""
+        queue = CostQueue(SLOTS)
+        queue.pacer.on_answer(1.0, 0.0, 0.0)
+        verdicts = [queue.offer(item, 0.0, "k", 2.5) for item in range(5)]
+        assert verdicts == ["run", "run", "wait", "wait", "refuse"]
+        assert queue.retry_after_s(0.0) == pytest.approx(3.0)
+        assert queue.paced_start_at() == pytest.approx(1.0)
+
+    def test_waiting_requests_start_when_the_limit_ends(self):
+        """Guards against requests that wait for a pace that holds no longer."""
+        queue = CostQueue(SLOTS)
+        queue.pacer.on_answer(0.5, 0.0, 0.0)
+        verdicts = [queue.offer(item, 0.0, "k", 9.0) for item in range(4)]
+        assert verdicts == ["run", "run", "wait", "wait"]
+        queue.pacer.on_answer(None, 0.1, 0.2)
+        assert [queue.start_next(0.2) for _ in range(3)] == [2, 3, None]
--- /dev/null
+++ b/tests/test_platform_conditions.py
@@ -0,0 +1,108 @@
+"""What endpoints of the platform say in their answers of the work that they take."""
+
+import asyncio
+import itertools
+
+from tests.support.platform.fleet import ask, platform_test
+from tests.support.platform.worker import answer
+
+LIMIT_PER_S = 4.0
+CALLS = 60
+SECONDS = 2.0
+# An endpoint gets at most one and a half times its limit, and 5 requests.
+SLACK_FACTOR = 1.5
+SLACK = 5
+
+
+def answer_with(*fields, delay_s=0.0):
+    """Return a handler whose answers have further header fields."""
+
+    async def handle(req, writer):
+        await asyncio.sleep(delay_s)
+        writer.write(answer(req, extra=fields))
+
+    return handle
+
+
+async def call_often(fleet, session, vm, calls=CALLS, seconds=SECONDS, prefix="r"):
+    """Send requests at a steady rate; return the statuses."""
+
+    async def call(number):
+        await asyncio.sleep(number * seconds / calls)
+        status, _, _ = await ask(
+            session, fleet, vm, request_id=f"{prefix}-{number}", deadline_ms=500
+        )
+        return status
+
+    return await asyncio.gather(*map(call, range(calls)))
+
+
+class TestRateLimit:
+    """An endpoint gets no more requests than it takes."""
+
+    @platform_test
+    async def test_named_limit_is_kept(self, fleet, session):
+        """Guards against overloading an endpoint that has named its limit."""
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        handle = answer_with(f"Server-Limit: {LIMIT_PER_S}")
+        worker = await fleet.worker("vm-a", handle, session=session)
+        statuses = await call_often(fleet, session, "vm-a")
+        assert set(statuses) == {200, 503}
+        received = len(worker.received)
+        assert received <= SLACK_FACTOR * LIMIT_PER_S * SECONDS + SLACK
+        assert received >= LIMIT_PER_S * SECONDS
+
+    @platform_test
+    async def test_limit_ends_with_an_answer_that_does_not_name_it(
+        self, fleet, session
+    ):
+        """Guards against a limit that outlasts the endpoint's need."""
+        fields = itertools.chain(["Server-Limit: 1"], itertools.repeat("X-None: 1"))
+
+        async def handle(req, writer):
+            writer.write(answer(req, extra=(next(fields),)))
+
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", handle, session=session)
+        statuses = await call_often(fleet, session, "vm-a", calls=20)
+        assert set(statuses) == {200}
+
+    @platform_test
+    async def test_unreadable_limit_is_ignored(self, fleet, session):
+        """Guards against an error or a stop at a limit that is no number."""
+        fields = itertools.cycle(["-1", "1e9", "nan", "inf", "", "0x1", "1" * 400])
+
+        async def handle(req, writer):
+            writer.write(answer(req, extra=(f"Server-Limit: {next(fields)}",)))
+
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", handle, session=session)
+        statuses = await call_often(fleet, session, "vm-a", calls=20)
+        assert set(statuses) == {200}
+
+    @platform_test
+    async def test_restarted_daemon_keeps_the_limit(self, fleet, session):
+        """Guards against an overload after a restart of the endpoint's own daemon.
+
+        Its peers know the limit, and the endpoint's first answer takes a while.
+        """
+        for vm in ("vm-a", "vm-b"):
+            await fleet.daemon(vm)
+        await fleet.configure()
+        handle = answer_with("Server-Limit: 1", delay_s=0.4)
+        worker = await fleet.worker("vm-b", handle, session=session)
+        await fleet.wait_for_links()
+        await call_often(fleet, session, "vm-a", calls=2, seconds=0.5)
+        await fleet.daemons["vm-b"].stop()
+        await fleet.daemon("vm-b")
+        await fleet.report(session, "vm-b", worker, sequence=2)
+        await fleet.wait_for_links()
+        before = len(worker.received)
+        await call_often(
+            fleet, session, "vm-a", calls=CALLS, seconds=0.3, prefix="after"
+        )
+        # Two requests may follow one another at once.
+        assert 1 <= len(worker.received) - before <= 2
