Send no more work to an endpoint that says in an answer that it leaves

An endpoint that leaves says so in its answers as well (Server-Leaving), which may come before its report, and a report may be seconds late. Nothing read it, so requests could reach the endpoint until the report came (DRAIN). The agent now takes such an answer for the notice of leaving: the endpoint gets nothing more at once, what waits for it goes elsewhere, and the registry tells the others.

An endpoint that was known by a probe only, whose start is unknown, was taken back into service by its next report; its leaving now holds for any start before it.

test_no_request_after_the_answer and test_leaving_of_an_endpoint_whose_start_is_unknown failed before.

--- a/dandelionarch/core/endpoint_reports.py
+++ b/dandelionarch/core/endpoint_reports.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from dandelionarch.core.world import Endpoint, EndpointState
+from dandelionarch.core.world import UNKNOWN_START, Endpoint, EndpointState
 from dandelionarch.ids import EndpointId, Incarnation, ServiceName, VmId
 
 # Departed endpoints are remembered because a delayed report may still name them.
@@ -63,12 +63,14 @@
     def mark_draining(self, endpoint_id, now_ms):
         """Mark an endpoint as draining; return it, or None if it is unknown.
 
-        A later report of an unknown endpoint counts as draining if it started before
-        `now_ms`.
+        If its start is unknown, it counts as draining in later reports of a start
+        before `now_ms`.
         """
         for report in self._latest.values():
             if report.endpoint_id == endpoint_id:
-                self._remember_departed(endpoint_id, report.incarnation)
+                is_known = report.incarnation != UNKNOWN_START
+                start_ms = report.incarnation if is_known else now_ms
+                self._remember_departed(endpoint_id, start_ms)
                 return self._make_endpoint(report, EndpointState.DRAINING)
         self._remember_departed(endpoint_id, now_ms)
         return None
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -92,6 +92,12 @@
     dialect : EndpointDialect, optional
     off : set of Mechanism, optional
         Mechanisms that are switched off.
+
+    Attributes
+    ----------
+    on_leaving : callable
+        `on_leaving(endpoint_id)` is called when an endpoint's answer says that it
+        takes no new work.
     """
 
     def __init__(self, network, directory, vm_id, watch, dialect=None, off=frozenset()):
@@ -105,6 +111,7 @@
         self._runs = {}
         self._endpoint_pool = EndpointPool(dialect or DandelionDialect())
         self.stopping = False
+        self.on_leaving = lambda endpoint_id: None
         network.subscribe(msgs.RequestHead, self._on_head)
         network.subscribe(msgs.RequestChunk, self._on_chunk)
         network.subscribe(msgs.Credit, self.on_credit)
@@ -443,6 +450,8 @@
         conditions = self._endpoint_pool.conditions(answer)
         if conditions is None:
             return
+        if conditions.is_leaving:
+            self.on_leaving(local.endpoint.endpoint_id)
         pacer, now = local.queue.pacer, asyncio.get_running_loop().time()
         before = pacer.rate_per_s
         if pacer.on_answer(conditions.rate_per_s, sent_at, now):
--- a/dandelionarch/daemon/endpoint_dialect.py
+++ b/dandelionarch/daemon/endpoint_dialect.py
@@ -24,9 +24,12 @@
     ----------
     rate_per_s : float or None
         Requests per second that the endpoint takes at most; None without a limit.
+    is_leaving : bool
+        True if the endpoint takes no new work.
     """
 
     rate_per_s: float | None = None
+    is_leaving: bool = False
 
 
 class EndpointDialect(ABC):
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -210,6 +210,7 @@
             self.agent,
             self.registry,
         )
+        self.agent.on_leaving = self.endpoints.on_leave
         self._endpoint_probe = EndpointProbe(
             self.settings.endpoint,
             self.routing,
--- a/dandelionarch/platform/http_fields.py
+++ b/dandelionarch/platform/http_fields.py
@@ -34,6 +34,8 @@
 SERVER_LOAD = "X-Server-Load"
 # Requests per second that the endpoint takes from all daemons together.
 SERVER_LIMIT = "Server-Limit"
+# "1" in the answers of an endpoint that is about to leave.
+SERVER_LEAVING = "Server-Leaving"
 # Signature of the endpoint, without which an answer is not valid.
 RESPONSE_STAMP = "X-Response-Stamp"
 STATUS_MISDIRECTED = 421
@@ -128,13 +130,14 @@
         return EndpointIdentity(EndpointId(endpoint_id), int(slots))
 
     def conditions(self, fields):
+        is_leaving = fields.get(SERVER_LEAVING) == "1"
         text = fields.get(SERVER_LIMIT)
         if text is None:
-            return EndpointConditions()
+            return EndpointConditions(None, is_leaving)
         if not DECIMAL.fullmatch(text):
             event(log, "rate_limit_unreadable", logging.WARNING, value=text)
             return None
-        return EndpointConditions(float(text))
+        return EndpointConditions(float(text), is_leaving)
 
     def check_response(self, status, fields, head):
         super().check_response(status, fields, head)
--- a/tests/test_platform_conditions.py
+++ b/tests/test_platform_conditions.py
@@ -106,3 +106,24 @@
         )
         # Two requests may follow one another at once.
         assert 1 <= len(worker.received) - before <= 2
+
+
+class TestLeaving:
+    """An endpoint that says in an answer that it leaves gets nothing more."""
+
+    @platform_test
+    async def test_no_request_after_the_answer(self, fleet, session):
+        """Guards against sending work to an endpoint that has not yet reported it."""
+        for vm in ("vm-a", "vm-b"):
+            await fleet.daemon(vm)
+        await fleet.configure()
+        worker = await fleet.worker(
+            "vm-b", answer_with("Server-Leaving: 1"), session=session
+        )
+        await fleet.wait_for_links()
+        assert (await ask(session, fleet, "vm-a"))[0] == 200
+        # A report that was sent before the endpoint began to leave.
+        await fleet.report(session, "vm-b", worker, sequence=2)
+        statuses = await call_often(fleet, session, "vm-a", calls=5, prefix="late")
+        assert set(statuses) == {503}
+        assert len(worker.received) == 1
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -9,7 +9,7 @@
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.endpoint_reports import EndpointReport, EndpointReports
 from dandelionarch.core.registry import Registry
-from dandelionarch.core.world import Endpoint, EndpointState, Vm, VmState
+from dandelionarch.core.world import UNKNOWN_START, Endpoint, EndpointState, Vm, VmState
 from dandelionarch.wire.codec import Codec
 
 
@@ -158,3 +158,15 @@
         assert self.states(changed) == [("i-1", EndpointState.DRAINING)]
         changed = reports.accept(make_report(incarnation=6000))
         assert self.states(changed) == [("i-1", EndpointState.READY)]
+
+    def test_leaving_of_an_endpoint_whose_start_is_unknown(self):
+        """Guards against new work after a leaving endpoint's first report.
+
+        A daemon that has restarted knows the endpoint by a probe, which tells no start.
+        """
+        reports = self.reports()
+        reports.accept(make_report(incarnation=UNKNOWN_START, sequence=0))
+        endpoint = reports.mark_draining("i-1", now_ms=5000)
+        assert endpoint.state is EndpointState.DRAINING
+        changed = reports.accept(make_report(sequence=7))
+        assert self.states(changed) == [("i-1", EndpointState.DRAINING)]
