Refuse reports and registry entries that are out of range

Users of similar systems saw daemons end or stop following after one odd entry among those of the endpoints. It could happen here: a report with a start or a number of slots that fits no message, or with half a character as its service, was accepted; from then on the daemon's entry could not be encoded, so no change of its endpoints was announced. A number of 400 digits was an error 500. A record under the daemon's own key with the largest incarnation made the daemon take one that has no message form, and a record of another message type ended the task that follows the registry, for a second each time. Deep nesting was refused before. Class of fault: a check of types without a check of ranges.

Each number of a report has a range, a text is short visible ASCII, the address an IP address with a port. The registry takes a record only under its own key and applies an entry as a whole or not at all. Numbers of the operator's configuration that are larger than messages hold are cut.

--- a/dandelionarch/core/registry.py
+++ b/dandelionarch/core/registry.py
@@ -7,6 +7,10 @@
 from dandelionarch.core.world import Health, Vm, VmState
 from dandelionarch.ids import DataCentreId, Incarnation, RegionId, VmId
 
+# An incarnation is a time in microseconds. A larger number is a damaged entry, and the
+# next incarnation after it would have no message form.
+MAX_INCARNATION = 2**62
+
 
 class Registry:
     """This daemon's own entry, and the entries of the others in the directory.
@@ -52,13 +56,21 @@
         self._directory.put_vm(self.vm)
 
     def apply(self, entry):
-        """Apply an entry; return True if this daemon must write its own again."""
+        """Apply an entry; return True if this daemon must write its own again.
+
+        Raises
+        ------
+        ValueError
+            If the entry has a state or a number that no daemon writes.
+        """
+        if entry.incarnation > MAX_INCARNATION:
+            raise ValueError(f"incarnation exceeds {MAX_INCARNATION}")
         if entry.vm_id == self.vm.vm_id:
             return self._on_own_entry(entry)
         known = self._entries.get(entry.vm_id)
         if known is None or _version(entry) > _version(known):
-            self._entries[entry.vm_id] = entry
             self._put(entry)
+            self._entries[entry.vm_id] = entry
         return False
 
     def entries(self):
@@ -77,6 +89,7 @@
         return is_old
 
     def _put(self, entry):
+        endpoints = [decode_endpoint(record) for record in entry.endpoints]
         vm = Vm(
             VmId(entry.vm_id),
             DataCentreId(entry.data_centre),
@@ -90,7 +103,6 @@
             VmState(entry.state),
         )
         self._directory.put_vm(vm)
-        endpoints = [decode_endpoint(record) for record in entry.endpoints]
         listed_ids = {endpoint.endpoint_id for endpoint in endpoints}
         for known in self._directory.endpoints_of_vm(vm.vm_id):
             if known.endpoint_id not in listed_ids:
--- a/dandelionarch/daemon/link.py
+++ b/dandelionarch/daemon/link.py
@@ -199,7 +199,7 @@
                     lambda: TcpLink(self, dialled=True), host, port
                 )
             await link.ready
-        except (WireError, OSError, TimeoutError) as exc:
+        except (WireError, OSError, TimeoutError, ValueError) as exc:
             detail = f"{type(exc).__name__}: {exc}"
             raise LinkDownError(f"{host}:{port}: {detail}") from exc
         if expected is not None and link.vm_id != expected:
--- a/dandelionarch/daemon/local_endpoints.py
+++ b/dandelionarch/daemon/local_endpoints.py
@@ -53,7 +53,9 @@
 
     def _max_connections(self, service):
         options = self._routing.options(service)
-        return UNLIMITED_CONNECTIONS if options is None else options.max_connections
+        if options is None:
+            return UNLIMITED_CONNECTIONS
+        return min(UNLIMITED_CONNECTIONS, options.max_connections)
 
     def _on_change(self, endpoint):
         current = self._watch.with_current_health(endpoint)
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -78,8 +78,12 @@
 
     def apply_peer_entry(self, entry):
         """Apply an entry from a peer; this VM's own is accepted from the store only."""
-        if entry.vm_id != self._registry.vm.vm_id:
+        if entry.vm_id == self._registry.vm.vm_id:
+            return
+        try:
             self._registry.apply(entry)
+        except ValueError as exc:
+            _log_unreadable(entry.vm_id, exc)
 
     async def leave(self, timeout_s):
         """Write an entry in state leaving; give up after `timeout_s`."""
@@ -139,17 +143,21 @@
             if not record.value:
                 continue
             try:
-                entry = self._codec.decode(Channel.REGISTRY, record.value)
+                entry = self._decode(record)
                 must_rewrite = self._registry.apply(entry)
             except (MessageDecodeError, ValueError) as exc:
-                event(
-                    log,
-                    "entry_unreadable",
-                    logging.WARNING,
-                    key=record.key,
-                    detail=exc,
-                )
+                _log_unreadable(record.key, exc)
                 continue
             if must_rewrite:
                 event(log, "entry_superseded", edition=entry.edition)
                 self.announce()
+
+    def _decode(self, record):
+        entry = self._codec.decode(Channel.REGISTRY, record.value)
+        if not isinstance(entry, VmEntry) or entry.vm_id != record.key:
+            raise MessageDecodeError("record is not the entry of its key")
+        return entry
+
+
+def _log_unreadable(key, exc):
+    event(log, "entry_unreadable", logging.WARNING, key=key, detail=exc)
--- a/dandelionarch/platform/config.py
+++ b/dandelionarch/platform/config.py
@@ -16,6 +16,9 @@
     parse_object,
 )
 
+# One day and the lowest rank, which fit into the messages between daemons.
+MAX_TIMEOUT_MS = 86_400_000
+MAX_PRIORITY = 255
 # Types of routes whose requests may run more than once.
 IDEMPOTENT_TYPES = frozenset({"safe", "download"})
 
@@ -52,10 +55,10 @@
         name,
         get_field(fields, "route_type", str) in IDEMPOTENT_TYPES,
         # Maximum time for which a caller waits, over all attempts.
-        get_field(fields, "timeout_ms", int),
+        min(MAX_TIMEOUT_MS, get_field(fields, "timeout_ms", int)),
         get_field(fields, "host", str).lower(),
         get_field(fields, "max_attempts", int),
-        get_field(fields, "priority", int),
+        min(MAX_PRIORITY, get_field(fields, "priority", int)),
         get_number(fields, "target_latency_ms"),
     )
 
--- a/dandelionarch/platform/control.py
+++ b/dandelionarch/platform/control.py
@@ -1,6 +1,8 @@
 """HTTP handlers for the platform's endpoint reports and readiness checks."""
 
+import ipaddress
 import logging
+import re
 
 from sanic.response import empty, json
 
@@ -11,13 +13,19 @@
 from dandelionarch.logs import event
 from dandelionarch.platform.json_fields import (
     InvalidBodyError,
+    check_text,
     get_field,
+    get_int,
     get_number,
+    get_text,
     parse_object,
 )
 
 log = logging.getLogger(__name__)
 
+PORT = re.compile(r"\d{1,5}", re.ASCII)
+MAX_PORT = 65_535
+MAX_SLOTS = 10_000
 ENDPOINT_STATES = {"ready": EndpointState.READY, "draining": EndpointState.DRAINING}
 
 
@@ -83,21 +91,28 @@
     state = ENDPOINT_STATES.get(get_field(status, "state", str))
     if state is None:
         raise InvalidBodyError("'state' is not one of the known states")
-    host, _, port = get_field(body, "address", str).rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) <= 65_535:
-        raise InvalidBodyError("'address' is not HOST:PORT")
-    slots = get_field(info, "slots", int)
-    if slots < 1:
-        raise InvalidBodyError("'slots' is less than 1")
+    host, port = _decode_address(get_text(body, "address"))
     return EndpointReport(
-        endpoint_id,
-        ServiceName(get_field(info, "service", str)),
+        EndpointId(check_text(endpoint_id, "id")),
+        ServiceName(get_text(info, "service")),
         host,
-        int(port),
-        slots,
+        port,
+        get_int(info, "slots", low=1, high=MAX_SLOTS),
         # Start of the endpoint in milliseconds since the Unix epoch.
-        Incarnation(get_field(body, "born", int)),
-        get_field(status, "sequence", int),
+        Incarnation(get_int(body, "born")),
+        get_int(status, "sequence"),
         state,
         get_number(status, "cold_left_ms") / 1000,
     )
+
+
+def _decode_address(text):
+    """Return the host, an IP address, and the port in HOST:PORT."""
+    host, _, port = text.rpartition(":")
+    try:
+        host = str(ipaddress.ip_address(host))
+    except ValueError as exc:
+        raise InvalidBodyError(f"'address': {exc}") from exc
+    if not PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
+        raise InvalidBodyError("'address' has no valid port")
+    return host, int(port)
--- a/dandelionarch/platform/http_fields.py
+++ b/dandelionarch/platform/http_fields.py
@@ -39,6 +39,7 @@
 # Signature of the endpoint, without which an answer is not valid.
 RESPONSE_STAMP = "X-Response-Stamp"
 STATUS_MISDIRECTED = 421
+SLOTS = re.compile(r"[1-9]\d{0,3}", re.ASCII)
 DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?", re.ASCII)
 # One day; a field with a longer time is malformed.
 MAX_DEADLINE_MS = 86_400_000
@@ -125,7 +126,7 @@
     def identity(self, fields):
         endpoint_id = fields.get(INSTANCE_ID)
         _, _, slots = fields.get(SERVER_LOAD, "").rpartition(",")
-        if not endpoint_id or not slots.isdecimal() or int(slots) < 1:
+        if not endpoint_id or not SLOTS.fullmatch(slots):
             return None
         return EndpointIdentity(EndpointId(endpoint_id), int(slots))
 
--- a/dandelionarch/platform/json_fields.py
+++ b/dandelionarch/platform/json_fields.py
@@ -1,6 +1,13 @@
 """Typed access to fields of the platform's JSON bodies."""
 
 import json
+import re
+
+# Longest id, service name or address that is accepted.
+MAX_TEXT_CHARS = 255
+# The types of the messages between daemons hold larger numbers, but none is sensible.
+MAX_INT = 2**53 - 1
+PLAIN_TEXT = re.compile(r"[\x21-\x7e]+")
 
 
 class InvalidBodyError(ValueError):
@@ -33,11 +40,33 @@
     return value
 
 
+def get_int(body, name, low=0, high=MAX_INT):
+    """Return a field that holds an int of a range, both ends included."""
+    value = get_field(body, name, int)
+    if not low <= value <= high:
+        raise InvalidBodyError(f"{name!r} is not in {low} to {high}")
+    return value
+
+
+def get_text(body, name):
+    """Return a field that holds visible ASCII characters, 1 to `MAX_TEXT_CHARS`."""
+    return check_text(get_field(body, name, str), name)
+
+
+def check_text(value, name):
+    """Return a text after the check of `get_text`; `name` is for the error."""
+    if len(value) > MAX_TEXT_CHARS or not PLAIN_TEXT.fullmatch(value):
+        raise InvalidBodyError(f"{name!r} is empty, too long or has odd characters")
+    return value
+
+
 def get_number(body, name):
-    """Return a field that holds a non-negative int or float."""
+    """Return a field that holds an int or float from 0 to `MAX_INT`."""
     value = _require_object(body).get(name)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        raise InvalidBodyError(f"{name!r} is not a non-negative number")
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise InvalidBodyError(f"{name!r} is not a number")
+    if not 0 <= value <= MAX_INT:
+        raise InvalidBodyError(f"{name!r} is not in 0 to {MAX_INT}")
     return value
 
 
