Refuse requests that would outlast a planned stop

An order that reached a stopping daemon 4.5 s after SIGTERM was accepted, ran, and was told 502 when the stop ended 1.1 s later (LOST). Cause: while its own endpoint still works, a stopping daemon goes on serving, as the endpoint makes calls; callers that know nothing of the stop are served too, which happens when over half of a data centre's daemons are out. Nothing compared the time that such a request takes with the time that is left.

A request is now refused at once, as not run, if the 95th percentile of its route's recent answers exceeds the time that is left. For a route without recent answers the objective counts.

test_request_that_would_outlast_the_stop_is_refused failed on: the request was cut off.

--- a/dandelionarch/core/hedging.py
+++ b/dandelionarch/core/hedging.py
@@ -1,4 +1,4 @@
-"""Delay after which a slow idempotent request gets a second attempt (hedging)."""
+"""Times until answers, and the delays of second attempts (hedging) that follow."""
 
 import math
 
@@ -13,6 +13,7 @@
 FALLBACK_SHARE = 0.5
 MIN_SAMPLES = 4
 WINDOW_SAMPLES = 63
+LIKELY_SHARE = 0.95
 
 
 class HedgeDelays:
@@ -43,3 +44,13 @@
         latest_s = objective_s - SECOND_ATTEMPT_MEDIANS * median_s
         delay_s = min(MEDIAN_FACTOR * median_s, latest_s)
         return max(MIN_MEDIAN_FACTOR * median_s, delay_s)
+
+    def likely_s(self, service, route, objective_s=math.inf):
+        """Return the time within which most answers begin.
+
+        It is the latency objective while too few times are known.
+        """
+        times = self._recent.get((service, route))
+        if times is None or len(times.sorted) < MIN_SAMPLES:
+            return objective_s
+        return times.sorted[int(LIKELY_SHARE * len(times.sorted))]
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -205,6 +205,10 @@
             budget = self._budgets[service] = self._rules.make_budget()
         return budget
 
+    def likely_time_s(self, work):
+        """Return the time in seconds within which most such requests are answered."""
+        return self._hedging.likely_s(work.service, work.route, work.objective_s)
+
     def retry_after_s(self, min_s=0.0):
         """Return the `Retry-After` of a refusal given now, in seconds."""
         now = asyncio.get_running_loop().time()
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import random
 import uuid
 
@@ -68,6 +69,12 @@
     orders : OrderDispatcher, optional
         Runs an order with an idempotency key at most once.
     metrics : Metrics, optional
+
+    Attributes
+    ----------
+    time_left_s : callable
+        Returns the seconds until a planned stop ends the requests in flight. A request
+        that most likely takes longer is refused, as it would be aborted.
     """
 
     def __init__(
@@ -91,6 +98,7 @@
         self._split = ServiceSplit(self._rng)
         self.in_flight = 0
         self.stopping = False
+        self.time_left_s = lambda: math.inf
         self.app = IngressApp(
             f"ingress-{uuid.uuid4().hex[:8]}", configure_logging=False
         )
@@ -205,6 +213,12 @@
         except BadRequestError as exc:
             return self._bad_request(request_id, 400, exc)
         work = self._make_work(request_id, customer, route)
+        if self._ingress.likely_time_s(work) > self.time_left_s():
+            outcome = self._unchecked_outcome(request, route.idempotent)
+            retry_s = self._ingress.retry_after_s()
+            return self._refusal(
+                work, Refuse(outcome, Reason.STOPPING, retry_s), started
+            )
         if self._customer_limits is None:
             return await self._run_request(request, work, started, budget_s)
         key, reason, retry_s = await self._customer_limits.admit(work)
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -307,6 +307,9 @@
         # until then, and as long as endpoints on this VM still make calls.
         self._stopping = True
         self.agent.stopping = True
+        self.http.time_left_s = lambda: self.stop_request.time_left_s(
+            self._stop_timeout_s
+        )
         self.network.broadcast(msgs.Leaving(self.vm_id))
         leave = asyncio.create_task(self.registry.leave(self._stop_timeout_s))
         await asyncio.sleep(self.settings.stop.drain_s)
--- a/dandelionarch/daemon/stopping.py
+++ b/dandelionarch/daemon/stopping.py
@@ -27,6 +27,10 @@
         self._last_set_s = asyncio.get_running_loop().time()
         super().set()
 
+    def time_left_s(self, timeout_s):
+        """Return the seconds until `timeout_s` seconds after the latest request."""
+        return self._last_set_s + timeout_s - asyncio.get_running_loop().time()
+
     def has_time_left(self, timeout_s):
         """Return True until `timeout_s` seconds after the latest request."""
-        return asyncio.get_running_loop().time() < self._last_set_s + timeout_s
+        return self.time_left_s(timeout_s) > 0
--- a/tests/support/platform/fleet.py
+++ b/tests/support/platform/fleet.py
@@ -100,7 +100,12 @@
             )
 
     async def daemon(
-        self, vm, service="orders", data_centre="dc-1", endpoint_address=""
+        self,
+        vm,
+        service="orders",
+        data_centre="dc-1",
+        endpoint_address="",
+        kill_after_s=30.0,
     ):
         """Start a daemon; `endpoint_address` is the HOST:PORT of a running endpoint."""
         callers, reports, readiness, peer = free_ports(4)
@@ -113,7 +118,7 @@
                 "readiness": f"127.0.0.1:{readiness}",
                 "peer_port": peer,
             },
-            stop={"drain_s": 0.1},
+            stop={"drain_s": 0.1, "kill_after_s": kill_after_s},
             endpoint={"service": service, "address": endpoint_address},
             store={"address": f"127.0.0.1:{self.store_port}"},
         )
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -1,11 +1,14 @@
 """Requests through daemons that run on stand-ins of the platform."""
 
 import asyncio
+import json
 import time
 
+from dandelionarch.core.hedging import MIN_SAMPLES
 from dandelionarch.core.world import Health
 from tests.support.path import until
 from tests.support.platform.fleet import (
+    ROUTES,
     ask,
     platform_test,
     route,
@@ -318,6 +321,43 @@
         assert status == 503
         assert len(worker.received) == 1
 
+    @platform_test
+    async def test_request_that_would_outlast_the_stop_is_refused(self, fleet, session):
+        """Guards against aborting a request that was accepted late in a planned stop.
+
+        While endpoints of a stopping daemon's VM still work, it serves their calls, and
+        callers that know nothing of the stop. On sntal-cl with all daemons stopped and
+        started, an order sent 4.5 s after SIGTERM ran and was aborted 1 s later.
+        """
+
+        async def slow(req, writer):
+            await asyncio.sleep(0.4 if req.target.startswith("/orders") else 3.0)
+            writer.write(answer(req))
+
+        stopping = await fleet.daemon("vm-a", service="stock", kill_after_s=1.9)
+        await fleet.daemon("vm-b")
+        routes = ROUTES | {"long": route("stock", prefix="/long/")}
+        await fleet.configure(routes=routes)
+        worker = await fleet.worker("vm-b", slow, session=session)
+        await fleet.worker("vm-a", slow, service="stock", session=session)
+        await fleet.wait_for_links()
+        for n in range(MIN_SAMPLES):
+            await ask(session, fleet, "vm-a", request_id=f"known-{n}")
+        long = asyncio.create_task(
+            ask(session, fleet, "vm-b", "/long/1", request_id="long")
+        )
+        await until(lambda: stopping.agent.in_flight, "endpoint of the VM works")
+        drained = asyncio.create_task(stopping.drain())
+        await asyncio.sleep(0.3)
+        assert (await ask(session, fleet, "vm-a", request_id="in time"))[0] == 200
+        await until(lambda: stopping.http.time_left_s() < 0.35, "little time left")
+        received = len(worker.received)
+        status, _, body = await ask(session, fleet, "vm-a", request_id="late")
+        assert (status, json.loads(body)["title"]) == (503, "stopping")
+        assert len(worker.received) == received
+        await drained
+        await long
+
 
 class TestRouteTimeout:
     """A route limits the time for which a caller waits."""
