Split the agent's endpoint and the reading of callers' bodies into modules

The queue, load and limit of one endpoint are now in agent_endpoint.py, with the timer of paced starts; bodies are read and discarded in caller_body.py. Two tests of limits share their set-up. No behaviour changes.

--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -4,16 +4,13 @@
 import contextlib
 import functools
 import logging
-import time
 
 import aiohttp
 
-from dandelionarch.core.admission import CostQueue, QueueRules
-from dandelionarch.core.mechanisms import Mechanism
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
-from dandelionarch.core.selection import warmup_ramp
 from dandelionarch.core.world import EndpointState, same_start
+from dandelionarch.daemon.agent_endpoint import LocalEndpoint
 from dandelionarch.daemon.agent_run import CHUNK_BYTES, Run
 from dandelionarch.daemon.endpoint_connections import EndpointPool
 from dandelionarch.daemon.endpoint_dialect import DandelionDialect
@@ -38,47 +35,6 @@
 REASON_OF_VERDICT = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
 
 
-class LocalEndpoint:
-    """An endpoint of this VM with the queue for its slots.
-
-    Attributes
-    ----------
-    start_timer : asyncio.TimerHandle or None
-        Starts waiting requests when the limit on their rate allows the next one.
-    """
-
-    def __init__(self, endpoint, off=frozenset()):
-        self.endpoint = endpoint
-        self.queue = CostQueue(endpoint.slots, rules=QueueRules.without(off))
-        self.start_timer = None
-        self._warms_up = Mechanism.WARM_UP not in off
-
-    def load(self):
-        """Return the `LoadReport` that is attached to each reply."""
-        pacer = self.queue.pacer
-        return msgs.LoadReport(
-            self.endpoint.endpoint_id,
-            self.queue.running,
-            self.queue.queued,
-            self.endpoint.slots,
-            self.endpoint.health.value,
-            min(self._warmup(), self._paced_share()),
-            pacer.rate_per_s if pacer.is_known else 0.0,
-        )
-
-    def _warmup(self):
-        if not self._warms_up:
-            return 1.0
-        return warmup_ramp(time.time() - self.endpoint.incarnation / 1000)
-
-    def _paced_share(self):
-        """Return the share of the slots that the limit on requests keeps busy."""
-        median_s = self.queue.costs.median()
-        if median_s is None or not self.queue.pacer.is_limited:
-            return 1.0
-        return min(1.0, self.queue.pacer.rate_per_s * median_s / self.endpoint.slots)
-
-
 class Agent:
     """Admits attempts to the endpoints of this VM, runs them and relays the answers.
 
@@ -189,6 +145,7 @@
         started = endpoint.incarnation
         if local is None or not same_start(local.endpoint.incarnation, started):
             local = LocalEndpoint(endpoint, self._off)
+            local.on_evicted = functools.partial(self._refuse_evicted, local)
             self._local_endpoints[endpoint_id] = local
         local.endpoint = endpoint
         return local
@@ -200,14 +157,7 @@
         reason = self._refusal_reason(local, head)
         run = Run(link, head)
         if reason is None:
-            now = asyncio.get_running_loop().time()
-            deadline = now + head.budget_ms / 1000
-            if head.rate_per_s:
-                local.queue.pacer.assume(head.rate_per_s)
-            verdict = local.queue.offer(
-                run, now, head.route, deadline, head.priority, head.may_wait
-            )
-            self._refuse_evicted(local)
+            verdict = local.offer(run, head)
             reason = REASON_OF_VERDICT.get(verdict)
         if reason is not None:
             self._refuse(run, local, reason)
@@ -217,8 +167,6 @@
         link.begin_request()
         if verdict == "run":
             run.started.set()
-        else:
-            self._schedule_start(local)
         run.task = asyncio.get_running_loop().create_task(self._run(run, local))
         # A task that is cancelled before its first step never runs its `finally`.
         run.task.add_done_callback(lambda _: self._on_run_done(run, local))
@@ -259,10 +207,9 @@
         )
         run.send(msgs.Refusal(run.head.attempt_id, reason.value, retry_after_ms, load))
 
-    def _refuse_evicted(self, local):
-        for run in local.queue.take_evicted():
-            self._refuse(run, local, Reason.QUEUE_FULL)
-            run.task.cancel()
+    def _refuse_evicted(self, local, run):
+        self._refuse(run, local, Reason.QUEUE_FULL)
+        run.task.cancel()
 
     def refuse_queued(self, endpoint_id, reason):
         """Refuse the queued attempts of an endpoint that takes no more work."""
@@ -334,34 +281,7 @@
         run.link.end_request()
         self._watch.on_run_ended(local.endpoint, run, run.reason, run.head.kind)
         self._runs.pop((run.link, run.head.attempt_id), None)
-        if not run.started.is_set():
-            local.queue.withdraw(run)
-            return
-        now = asyncio.get_running_loop().time()
-        next_run = local.queue.finish(run, now, run.answer_sent)
-        if next_run is not None:
-            next_run.started.set()
-        self._refuse_evicted(local)
-        self._schedule_start(local)
-
-    def _schedule_start(self, local):
-        """Start the next waiting request when the limit on their rate allows it."""
-        start_at = local.queue.paced_start_at()
-        if start_at is None or local.start_timer is not None:
-            return
-        loop = asyncio.get_running_loop()
-        local.start_timer = loop.call_at(start_at, self._start_waiting, local)
-
-    def _start_waiting(self, local):
-        """Start the waiting requests that may start now, and schedule the next."""
-        if local.start_timer is not None:
-            local.start_timer.cancel()
-            local.start_timer = None
-        now = asyncio.get_running_loop().time()
-        while (run := local.queue.start_next(now)) is not None:
-            run.started.set()
-        self._refuse_evicted(local)
-        self._schedule_start(local)
+        local.finish(run)
 
     async def _call(self, run, local, deadline):
         endpoint = local.endpoint
@@ -452,18 +372,8 @@
             return
         if conditions.is_leaving:
             self.on_leaving(local.endpoint.endpoint_id)
-        pacer, now = local.queue.pacer, asyncio.get_running_loop().time()
-        before = pacer.rate_per_s
-        if pacer.on_answer(conditions.rate_per_s, sent_at, now):
-            event(
-                log,
-                "rate_limit_changed",
-                endpoint=local.endpoint.endpoint_id,
-                rate_per_s=pacer.rate_per_s,
-            )
+        if local.apply_rate(conditions.rate_per_s, sent_at):
             self.broadcast_load(local.endpoint)
-        if pacer.rate_per_s != before:
-            self._start_waiting(local)
 
     async def _relay_answer(self, run, local, answer):
         attempt_id = run.head.attempt_id
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -1,7 +1,6 @@
 """HTTP side of the ingress: reads callers' requests, sends answers and refusals."""
 
 import asyncio
-import contextlib
 import logging
 import math
 import random
@@ -19,11 +18,8 @@
 )
 from dandelionarch.core.outcome import Outcome, Reason
 from dandelionarch.core.routes import ServiceSplit
-from dandelionarch.daemon.attempt import (
-    REPLAY_LIMIT_BYTES,
-    BodyRemainder,
-    CallerRequest,
-)
+from dandelionarch.daemon.attempt import REPLAY_LIMIT_BYTES
+from dandelionarch.daemon.caller_body import discard_body, read_request
 from dandelionarch.daemon.caller_connections import IngressApp
 from dandelionarch.daemon.headers import from_wire, invalid_field
 from dandelionarch.daemon.runtime import ERROR_FORMAT
@@ -44,9 +40,6 @@
 SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
 METHODS = ["GET", "POST", "PUT", "DELETE", "PATCH", "HEAD", "OPTIONS"]
 HEADER_TIMEOUT_S = 10
-# For how long, and up to which size, the body of a refused request is discarded.
-LINGER_S = 1.0
-LINGER_BYTES = 16 << 20
 STOP_POLL_PERIOD_S = 0.02
 
 
@@ -277,7 +270,8 @@
         unchecked = self._unchecked_outcome(request, work.idempotent)
         try:
             async with asyncio.timeout_at(deadline):
-                req = await self._caller_request(request)
+                limit = self._bounds.max_request_body_bytes
+                req = await read_request(request, self._callers, limit)
         except TimeoutError as exc:
             return await self._refuse_body(request, work, exc, unchecked)
         except (SanicException, BodyTooLargeError) as exc:
@@ -309,43 +303,7 @@
             status, exc = 408, BodyTimeoutError("body not received in time")
         refusal = self._bad_request(work.request_id, status, exc, outcome)
         await (await request.respond(refusal)).send(end_stream=True)
-        # Closing with unread input would reset the connection before the caller has
-        # read the refusal.
-        discarded = 0
-        with contextlib.suppress(TimeoutError, SanicException):
-            async with asyncio.timeout(LINGER_S):
-                while request.stream.request_body and discarded < LINGER_BYTES:
-                    discarded += len(await request.stream.read() or b"")
-
-    async def _caller_request(self, request):
-        """Return the request with the start of its body.
-
-        Raises
-        ------
-        BodyTooLargeError
-            If the body is known to exceed the limit.
-        """
-        limit = self._bounds.max_request_body_bytes
-        stream = request.stream
-        if stream.request_bytes_left > limit:
-            raise BodyTooLargeError(f"body exceeds {limit} bytes")
-        parts, size = [], 0
-        while stream.request_body and size < REPLAY_LIMIT_BYTES:
-            data = await stream.read()
-            parts.append(data or b"")
-            size += len(parts[-1])
-            if size > limit:
-                raise BodyTooLargeError(f"body exceeds {limit} bytes")
-        remainder = (
-            BodyRemainder(stream.read, size, limit) if stream.request_body else None
-        )
-        target = request.path
-        if request.query_string:
-            target = f"{target}?{request.query_string}"
-        headers = self._callers.forwarded_fields(request)
-        return CallerRequest(
-            request.method, target, headers, b"".join(parts), remainder
-        )
+        await discard_body(request)
 
     def _refusal(self, work, refuse, started):
         resp, status = self._callers.refusal(work.request_id, refuse)
--- a/tests/test_mechanisms.py
+++ b/tests/test_mechanisms.py
@@ -9,7 +9,7 @@
 from dandelionarch.core.mechanisms import Mechanism, parse_mechanisms
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.world import Endpoint
-from dandelionarch.daemon.agent import LocalEndpoint
+from dandelionarch.daemon.agent_endpoint import LocalEndpoint
 from dandelionarch.daemon.endpoint_views import IngressRules
 from dandelionarch.daemon.endpoint_watch import GateWatch
 from dandelionarch.daemon.settings import read_registry_settings
--- a/tests/test_platform_conditions.py
+++ b/tests/test_platform_conditions.py
@@ -40,6 +40,20 @@
 class TestRateLimit:
     """An endpoint gets no more requests than it takes."""
 
+    async def statuses(self, fleet, session, fields):
+        """Return the statuses of 20 requests to a worker.
+
+        Each of its answers has the next of some header fields.
+        """
+
+        async def handle(req, writer):
+            writer.write(answer(req, extra=(next(fields),)))
+
+        await fleet.daemon("vm-a")
+        await fleet.configure()
+        await fleet.worker("vm-a", handle, session=session)
+        return set(await call_often(fleet, session, "vm-a", calls=20))
+
     @platform_test
     async def test_named_limit_is_kept(self, fleet, session):
         """Guards against overloading an endpoint that has named its limit."""
@@ -59,29 +73,14 @@
     ):
         """Guards against a limit that outlasts the endpoint's need."""
         fields = itertools.chain(["Server-Limit: 1"], itertools.repeat("X-None: 1"))
-
-        async def handle(req, writer):
-            writer.write(answer(req, extra=(next(fields),)))
-
-        await fleet.daemon("vm-a")
-        await fleet.configure()
-        await fleet.worker("vm-a", handle, session=session)
-        statuses = await call_often(fleet, session, "vm-a", calls=20)
-        assert set(statuses) == {200}
+        assert await self.statuses(fleet, session, fields) == {200}
 
     @platform_test
     async def test_unreadable_limit_is_ignored(self, fleet, session):
         """Guards against an error or a stop at a limit that is no number."""
-        fields = itertools.cycle(["-1", "1e9", "nan", "inf", "", "0x1", "1" * 400])
-
-        async def handle(req, writer):
-            writer.write(answer(req, extra=(f"Server-Limit: {next(fields)}",)))
-
-        await fleet.daemon("vm-a")
-        await fleet.configure()
-        await fleet.worker("vm-a", handle, session=session)
-        statuses = await call_often(fleet, session, "vm-a", calls=20)
-        assert set(statuses) == {200}
+        values = itertools.cycle(["-1", "1e9", "nan", "inf", "", "0x1", "1" * 400])
+        fields = (f"Server-Limit: {value}" for value in values)
+        assert await self.statuses(fleet, session, fields) == {200}
 
     @platform_test
     async def test_restarted_daemon_keeps_the_limit(self, fleet, session):
