Schedule no paced start for requests that wait for a slot

With a limit in force, a request that waits for a slot that long work may take, while the slot kept for short work is free, made the timer of paced starts fire in each iteration of the event loop, until a run ended. Found on reading the change again. The queue now names a time only if it is still to come; the end of a run starts what waits for a slot.

test_request_that_waits_for_a_slot_is_not_paced: the time was in the past before.

--- a/dandelionarch/core/admission.py
+++ b/dandelionarch/core/admission.py
@@ -273,15 +273,16 @@
                 return job.item
         return None
 
-    def paced_start_at(self):
-        """Return when the pace lets the next waiting request start; None without one.
+    def paced_start_at(self, now):
+        """Return the time in seconds at which the pace allows the next start.
 
-        It is a time in seconds. None is returned as well if the request waits for a
-        slot, whose end starts it.
+        It is None if no request waits, or if those that do wait for a slot, as the end
+        of a running request starts them.
         """
-        if not self._waiting or self.running >= self.slots or not self.pacer.is_limited:
+        due_at = self.pacer.due_at()
+        if not self._waiting or self.running >= self.slots or due_at <= now:
             return None
-        return self.pacer.due_at()
+        return due_at
 
     def take_evicted(self):
         evicted, self._evicted = self._evicted, []
--- a/dandelionarch/daemon/agent_endpoint.py
+++ b/dandelionarch/daemon/agent_endpoint.py
@@ -111,10 +111,10 @@
 
     def _schedule_start(self):
         """Start the next waiting attempt when the limit on their rate allows it."""
-        start_at = self.queue.paced_start_at()
+        loop = asyncio.get_running_loop()
+        start_at = self.queue.paced_start_at(loop.time())
         if start_at is None or self._start_timer is not None:
             return
-        loop = asyncio.get_running_loop()
         self._start_timer = loop.call_at(start_at, self._start_waiting)
 
     def _start_waiting(self):
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -9,6 +9,7 @@
 
 from dandelionarch.core.admission import CostQueue
 from dandelionarch.core.pacing import BURST, MIN_RATE_PER_S, Pacer
+from tests.test_admission import known_costs
 
 # An endpoint gets at most one and a half times its limit, and 5 requests, in any 4 s.
 WINDOW_S = 4.0
@@ -116,7 +117,19 @@
         verdicts = [queue.offer(item, 0.0, "k", 2.5) for item in range(5)]
         assert verdicts == ["run", "run", "wait", "wait", "refuse"]
         assert queue.retry_after_s(0.0) == pytest.approx(3.0)
-        assert queue.paced_start_at() == pytest.approx(1.0)
+        assert queue.paced_start_at(0.0) == pytest.approx(1.0)
+
+    def test_request_that_waits_for_a_slot_is_not_paced(self):
+        """Guards against a timer that fires again and again until a slot is free.
+
+        One of the two slots is kept free for short work.
+        """
+        queue = CostQueue(2, known_costs())
+        queue.pacer.on_answer(100.0, 0.0, 0.0)
+        verdicts = [queue.offer(item, 0.1, "long", 9.0) for item in range(2)]
+        assert verdicts == ["run", "wait"]
+        assert queue.paced_start_at(0.2) is None
+        assert queue.finish(0, 0.6) == 1
 
     def test_waiting_requests_start_when_the_limit_ends(self):
         """Guards against requests that wait for a pace that holds no longer."""
