Begin with short reads of the store after an error as well

The wait of a daemon's reads grows to 25 s while nothing changes, and an outage of the store did not reset it.

test_change_as_the_store_returns_is_applied failed before.

--- a/dandelionarch/daemon/follower.py
+++ b/dandelionarch/daemon/follower.py
@@ -47,9 +47,9 @@
         Returns True while peers read the topic and announce its changes, so that this
         daemon need not read it. By default it always reads.
     first_poll_s : float, optional
-        Wait in seconds of the first read after a batch; it grows with each read without
-        records. The store may not answer a read that begins while a record is written
-        before the next record or the end of the read's wait.
+        Wait in seconds of the first read after a batch or an error; it grows with each
+        read without records. The store may not answer a read that begins while a record
+        is written before the next record or the end of the read's wait.
 
     Attributes
     ----------
@@ -94,6 +94,7 @@
                 self._offset = None
                 continue
             except PlatformError as exc:
+                self._poll_s = self._first_poll_s
                 self._on_store_lost(exc)
                 await asyncio.sleep(retry_delay_s(self._rng))
                 continue
--- a/tests/test_config_followers.py
+++ b/tests/test_config_followers.py
@@ -9,6 +9,7 @@
 
 from dandelionarch.core.keyed_log import KeyedLog
 from dandelionarch.core.placement import FOLLOWERS_PER_DATA_CENTRE
+from dandelionarch.daemon.follower import LONG_POLL_S
 from tests.support.config_fleet import Daemon, config_record, stop
 from tests.support.memory_log import MemoryLog
 from tests.support.virtual_loop import run_virtual
@@ -174,3 +175,26 @@
         """
         starts = [0.0, APPEND_S / 2, 0.9 * APPEND_S]
         assert [self.play(start_s) for start_s in starts] == [2, 2, 2]
+
+    def test_change_as_the_store_returns_is_applied(self):
+        """Guards against a long read that begins while the store is busy again.
+
+        The operator writes at once, and the daemon's reads had become long before.
+        """
+
+        async def main():
+            topic, fleet = BusyLog(), {}
+            await topic.append(config_record(1))
+            daemon = Daemon(fleet, topic, "dc0", 0)
+            daemon.join()
+            daemon.start()
+            await asyncio.sleep(3 * LONG_POLL_S)
+            topic.down = True
+            await asyncio.sleep(2 * LONG_POLL_S)
+            topic.down = False
+            await topic.append(config_record(2))
+            await asyncio.sleep(APPLY_LIMIT_S)
+            await stop(fleet)
+            return daemon.revision
+
+        assert run_virtual(main()) == 2
