Begin to read a topic again when the store has come back from a copy

Cause: a reader of a topic held an offset for a place in one history. The store gives offsets out again after a return from a copy. A reader whose offset is at or below the new end gets no error: it goes on after records that it has not read, or waits at the end. All 12 readers of the configuration did so, and so nobody had the revision in between to tell the others. Ruled out: a late or lost reply (each read was answered within 10 ms), a refused revision (none was read).

A position now consists of the era and the offset. A reply of another era than that of the position is not used, and the newest records are read. Pages of newest records are of one era. The lines of reads and writes tell the era, and store_restored tells that it has changed.

--- a/dandelionarch/core/keyed_log.py
+++ b/dandelionarch/core/keyed_log.py
@@ -3,7 +3,22 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from dandelionarch.ids import Offset
+from dandelionarch.ids import Offset, StoreEra
+
+# Era of a store that tells none; such a store never comes back from a copy.
+NO_ERA = StoreEra(0)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A place in a topic.
+
+    A store that comes back from an older copy gives offsets out again. Its era rises
+    each time, so an offset is valid only together with the era in which it was read.
+    """
+
+    era: StoreEra
+    offset: Offset
 
 
 @dataclass(frozen=True, slots=True)
@@ -16,10 +31,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """Records in order, and the offset after the last one."""
+    """Records in order, and the position after the last one."""
 
     records: tuple[KeyedRecord, ...]
-    end: Offset
+    end: Position
 
 
 class KeyedLog(ABC):
@@ -35,15 +50,18 @@
     async def read(self, offset, wait_s):
         """Return a `Batch` from an offset on, empty if none came within `wait_s`.
 
+        The offset counts in the store's present era, which the end of the batch tells.
+
         Raises
         ------
         OffsetTruncatedError
-            If some records from that offset on are no longer retained.
+            If the topic does not have that offset: some records from there on are no
+            longer retained, or the store has come back with fewer records.
         """
 
     @abstractmethod
     async def append(self, record):
-        """Append a record.
+        """Append a record and return its `Position`.
 
         Raises
         ------
--- a/dandelionarch/daemon/follower.py
+++ b/dandelionarch/daemon/follower.py
@@ -5,7 +5,7 @@
 import logging
 import random
 
-from dandelionarch.core.keyed_log import Batch
+from dandelionarch.core.keyed_log import NO_ERA, Batch
 from dandelionarch.errors import OffsetTruncatedError, PlatformError
 from dandelionarch.logs import event
 
@@ -31,8 +31,9 @@
 class Follower:
     """Passes every batch of a topic's records to `on_records`, oldest first.
 
-    If the store has dropped records before they were read, the newest record of each
-    key is delivered again, so the handler must be idempotent.
+    If the store has dropped records before they were read, or has come back from an
+    older copy of its records, the newest record of each key is delivered again, so the
+    handler must be idempotent.
 
     Parameters
     ----------
@@ -55,6 +56,8 @@
     ----------
     available : bool
         True if the last read succeeded.
+    era : StoreEra
+        Era of the store at the last reply, `NO_ERA` before the first one.
     caught_up : asyncio.Event
         Set after the first successful read.
     """
@@ -72,12 +75,13 @@
         self._on_records = on_records
         self._pause_s = pause_s
         self._rng = rng or random.Random()
-        self._offset = None
+        self._position = None
         self._can_skip_reads = can_skip_reads
         self._first_poll_s = first_poll_s
         self._poll_s = first_poll_s
         self._read_requested = asyncio.Event()
         self.available = False
+        self.era = NO_ERA
         self.caught_up = asyncio.Event()
 
     def read_soon(self):
@@ -90,8 +94,9 @@
             try:
                 batch = await self._read_batch()
             except OffsetTruncatedError as exc:
-                event(log, "topic_truncated", topic=self._topic.name, detail=exc)
-                self._offset = None
+                if not self._has_left_era(exc.era):
+                    event(log, "topic_truncated", topic=self._topic.name, detail=exc)
+                    self._position = None
                 continue
             except PlatformError as exc:
                 self._poll_s = self._first_poll_s
@@ -99,14 +104,37 @@
                 await asyncio.sleep(retry_delay_s(self._rng))
                 continue
             self._on_store_regained()
+            if self._has_left_era(batch.end.era):
+                continue
             self._log_read(batch)
-            self._offset = batch.end
+            self._position = batch.end
             if batch.records:
                 self._on_records(batch.records)
             self.caught_up.set()
             await self._wait(self._pause_s)
             await self._skip_reads()
 
+    def _has_left_era(self, era):
+        """Return True if the position is of an earlier era, and drop it.
+
+        It may stand for other records now, or for the end of the topic, where a reader
+        would wait without an error.
+        """
+        self.era = era
+        if self._position is None or self._position.era == era:
+            return False
+        event(
+            log,
+            "store_restored",
+            logging.WARNING,
+            topic=self._topic.name,
+            era=era,
+            previous=self._position.era,
+            offset=self._position.offset,
+        )
+        self._position = None
+        return True
+
     async def _wait(self, pause_s):
         """Wait `pause_s` or until a read is requested; return True if it was."""
         with contextlib.suppress(TimeoutError):
@@ -120,7 +148,7 @@
         """Wait while peers read in place of this daemon, up to `MAX_SKIP_S`."""
         if not self._can_skip_reads():
             return
-        event(log, "reads_skipped", topic=self._topic.name, offset=self._offset)
+        event(log, "reads_skipped", topic=self._topic.name, offset=self._known_offset)
         remaining_s, requested = MAX_SKIP_S, False
         while remaining_s > 0 and not requested and self._can_skip_reads():
             requested = await self._wait(SKIP_CHECK_S)
@@ -129,7 +157,7 @@
             log,
             "reads_resumed",
             topic=self._topic.name,
-            offset=self._offset,
+            offset=self._known_offset,
             requested=requested,
         )
 
@@ -138,16 +166,21 @@
             log,
             "topic_read",
             topic=self._topic.name,
-            offset=self._offset,
-            end=batch.end,
+            era=batch.end.era,
+            offset=self._known_offset,
+            end=batch.end.offset,
             records=len(batch.records),
         )
 
+    @property
+    def _known_offset(self):
+        return None if self._position is None else self._position.offset
+
     async def _read_batch(self) -> Batch:
-        if self._offset is None:
+        if self._position is None:
             self._poll_s = self._first_poll_s
             return await self._topic.newest()
-        batch = await self._topic.read(self._offset, self._poll_s)
+        batch = await self._topic.read(self._position.offset, self._poll_s)
         self._poll_s = self._first_poll_s if batch.records else self._longer_poll_s()
         return batch
 
@@ -162,7 +195,7 @@
                 "store_lost",
                 logging.WARNING,
                 topic=self._topic.name,
-                offset=self._offset,
+                offset=self._known_offset,
                 error=type(exc).__name__,
                 detail=exc,
             )
@@ -170,5 +203,10 @@
 
     def _on_store_regained(self):
         if not self.available:
-            event(log, "store_regained", topic=self._topic.name, offset=self._offset)
+            event(
+                log,
+                "store_regained",
+                topic=self._topic.name,
+                offset=self._known_offset,
+            )
         self.available = True
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -127,10 +127,12 @@
     async def _write(self):
         entry = self._current_entry()
         _, value = self._codec.encode(entry)
-        await self._topic.append(KeyedRecord(entry.vm_id, value))
+        position = await self._topic.append(KeyedRecord(entry.vm_id, value))
         event(
             log,
             "entry_written",
+            era=position.era,
+            offset=position.offset,
             edition=entry.edition,
             state=entry.state,
             endpoints=",".join(f"{e.endpoint_id}:{e.state}" for e in entry.endpoints),
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -103,16 +103,19 @@
 
 
 class OffsetTruncatedError(PlatformError):
-    """The requested offset is older than the log's retention.
+    """The log does not have the requested offset; mostly it is no longer retained.
 
     Parameters
     ----------
     first_offset : int
         The oldest offset that the log still holds.
+    era : int
+        Era of the store, 0 if it tells none.
     """
 
-    def __init__(self, first_offset):
+    def __init__(self, first_offset, era=0):
         self.first_offset = first_offset
+        self.era = era
         super().__init__(f"offset truncated; first retained offset is {first_offset}")
 
 
--- a/dandelionarch/platform/store.py
+++ b/dandelionarch/platform/store.py
@@ -3,13 +3,20 @@
 import base64
 import binascii
 import logging
+import re
 import socket
 import struct
 from dataclasses import dataclass
 
 import aiohttp
 
-from dandelionarch.core.keyed_log import Batch, KeyedLog, KeyedRecord
+from dandelionarch.core.keyed_log import (
+    NO_ERA,
+    Batch,
+    KeyedLog,
+    KeyedRecord,
+    Position,
+)
 from dandelionarch.daemon.sockets import open_socket
 from dandelionarch.errors import (
     OffsetTruncatedError,
@@ -17,9 +24,14 @@
     PlatformUnavailableError,
     PlatformUnreachableError,
 )
-from dandelionarch.ids import Offset
+from dandelionarch.ids import Offset, StoreEra
 from dandelionarch.logs import event
-from dandelionarch.platform.json_fields import InvalidBodyError, get_field, parse_object
+from dandelionarch.platform.json_fields import (
+    InvalidBodyError,
+    get_field,
+    get_int,
+    parse_object,
+)
 
 log = logging.getLogger(__name__)
 
@@ -29,6 +41,9 @@
 # Each keyed topic has this one partition only.
 PARTITION = 0
 MAX_READ_KB = 1024
+# Number that rises each time the store comes back from an older copy.
+STORE_ERA = "Store-Era"
+ERA = re.compile(r"\d{1,18}", re.ASCII)
 LENGTH = struct.Struct("!I")
 OFFSETS = struct.Struct("!QQ")
 # Keep-alive probes detect a connection whose state was lost in a device on the way,
@@ -39,6 +54,14 @@
 USER_TIMEOUT_MS = 2500
 
 
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Body of a reply of the store, and the era in which the store gave it."""
+
+    body: bytes
+    era: StoreEra
+
+
 class StoreClient:
     """Client of the store, shared by all topics.
 
@@ -67,7 +90,7 @@
         return StoreTopic(self, name)
 
     async def call(self, method, path, params, data=None, wait_s=0.0):
-        """Send a request and return the body of the reply.
+        """Send a request and return the `Reply`.
 
         Raises
         ------
@@ -87,11 +110,12 @@
             async with self._session.request(
                 method, self._url + path, params=params, data=data, timeout=timeout
             ) as resp:
-                if resp.status == 410:
-                    raise OffsetTruncatedError((await resp.json())["first"])
-                if resp.status != 200:
+                if resp.status not in (200, 410):
                     raise PlatformRefusedError(f"store: {path}: status {resp.status}")
-                return await resp.read()
+                era = _decode_era(resp.headers)
+                if resp.status == 410:
+                    raise OffsetTruncatedError((await resp.json())["first"], era)
+                return Reply(await resp.read(), era)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise PlatformUnreachableError(f"store: {path}: {exc}") from exc
         except (aiohttp.ClientError, OSError, TimeoutError) as exc:
@@ -111,16 +135,27 @@
         self._first_offset = Offset(0)
 
     async def newest(self):
-        records, after, end = [], None, self._first_offset
+        pages = await self._read_pages()
+        era = pages[0].end.era
+        records = tuple(record for page in pages for record in page.records)
+        end = max(page.end for page in pages)
+        return Batch(records, max(end, Position(era, self._first_offset)))
+
+    async def _read_pages(self):
+        """Return all pages of the newest records, which are of one era."""
+        pages, after = [], None
         while True:
             params = {"topic": self.name, "part": PARTITION}
             if after is not None:
                 params["after"] = after
             page = _decode_page(await self._client.call("GET", "log-newest", params))
-            records += page.records
-            end = max(end, page.end)
+            if pages and page.end.era != pages[0].end.era:
+                # The store has been restored: the pages so far show what it had before.
+                pages, after = [], None
+                continue
+            pages.append(page)
             if page.next_key is None:
-                return Batch(tuple(records), end)
+                return pages
             after = page.next_key
 
     async def read(self, offset, wait_s):
@@ -132,18 +167,19 @@
             "wait_ms": int(wait_s * 1000),
         }
         try:
-            data = await self._client.call("GET", "log-read", params, wait_s=wait_s)
+            reply = await self._client.call("GET", "log-read", params, wait_s=wait_s)
         except OffsetTruncatedError as exc:
             self._first_offset = max(self._first_offset, exc.first_offset)
             raise
-        return _decode_read(data, offset)
+        return _decode_read(reply, offset)
 
     async def append(self, record):
         key = record.key.encode()
         raw = bytes([len(key)]) + key + record.value
         params = {"topic": self.name, "part": PARTITION}
         data = LENGTH.pack(len(raw)) + raw
-        await self._client.call("POST", "log-append", params, data=data)
+        reply = await self._client.call("POST", "log-append", params, data=data)
+        return _decode_append(reply)
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,26 +187,45 @@
     """One page of the newest records.
 
     `next_key` is the key after which the next page starts, None on the last page.
-    `end` is the offset after the newest record on the page. The end that the store
+    `end` is the position after the newest record on the page. The end that the store
     reports is read later than the records, so a reader that continued there could
     miss records written in between.
     """
 
     records: tuple[KeyedRecord, ...]
-    end: Offset
+    end: Position
     next_key: str | None
 
 
-def _decode_page(data):
+def _decode_era(headers):
+    text = headers.get(STORE_ERA)
+    if text is None:
+        return NO_ERA
+    if not ERA.fullmatch(text):
+        raise ValueError(f"{STORE_ERA}: {text!r}")
+    return StoreEra(int(text))
+
+
+def _decode_append(reply):
+    """Return the `Position` of the record that was appended."""
+    try:
+        offset = get_int(parse_object(reply.body), "offset")
+    except InvalidBodyError as exc:
+        raise PlatformUnavailableError(f"store: bad reply to append: {exc}") from exc
+    return Position(reply.era, Offset(offset))
+
+
+def _decode_page(reply):
     try:
-        body = parse_object(data)
+        body = parse_object(reply.body)
         items = [_decode_item(item) for item in get_field(body, "items", list)]
         more = get_field(body, "more", bool, False)
     except (InvalidBodyError, binascii.Error) as exc:
         raise PlatformUnavailableError(f"store: bad page: {exc}") from exc
     records = tuple(record for record, _ in items)
     end = max((offset + 1 for _, offset in items), default=0)
-    return Page(records, Offset(end), records[-1].key if more and records else None)
+    next_key = records[-1].key if more and records else None
+    return Page(records, Position(reply.era, Offset(end)), next_key)
 
 
 def _decode_item(item):
@@ -183,7 +238,8 @@
     )
 
 
-def _decode_read(data, offset):
+def _decode_read(reply, offset):
+    data = reply.body
     if len(data) < OFFSETS.size:
         raise PlatformUnavailableError("store: reply to a read is too short")
     records, pos = [], OFFSETS.size
@@ -195,7 +251,7 @@
         records.append(_decode_record(data[pos : pos + size]))
         pos += size
     valid = tuple(record for record in records if record is not None)
-    return Batch(valid, Offset(offset + len(records)))
+    return Batch(valid, Position(reply.era, Offset(offset + len(records))))
 
 
 def _decode_record(raw):
--- a/tests/support/config_fleet.py
+++ b/tests/support/config_fleet.py
@@ -67,7 +67,7 @@
         return await self._receive(await self._topic.read(offset, wait_s))
 
     async def append(self, record):
-        await self._topic.append(record)
+        return await self._topic.append(record)
 
     async def _receive(self, batch):
         await transfer(sum(len(r.value) for r in batch.records), self._port)
--- a/tests/support/platform/store.py
+++ b/tests/support/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import base64
+import contextlib
 import struct
 from dataclasses import dataclass, field
 
@@ -38,6 +39,8 @@
         Number of further appends that take effect but get no reply.
     refused_hosts : set of str
         Addresses of callers that get 503 to every call, while others are served.
+    era : int
+        Number of the header field `Store-Era`.
     calls : list of str
         Path of each call.
     """
@@ -46,13 +49,33 @@
         self.unavailable = False
         self.drop_replies = 0
         self.refused_hosts = set()
+        self.era = 1
         self.calls = []
         self._topics = {}
         self.app = web.Application()
+        self.app.on_response_prepare.append(self._add_era)
         self.app.router.add_post("/-/log-append", self._append)
         self.app.router.add_get("/-/log-read", self._read)
         self.app.router.add_get("/-/log-newest", self._newest)
 
+    async def _add_era(self, request, resp):
+        resp.headers["Store-Era"] = str(self.era)
+
+    def copy(self):
+        """Return a copy of all topics, for `restore`."""
+        return {
+            name: Topic(topic.first_offset, list(topic.records), dict(topic.compacted))
+            for name, topic in self._topics.items()
+        }
+
+    async def restore(self, topics):
+        """Come back with an earlier `copy`, in the next era, and end waiting reads."""
+        self.era += 1
+        replaced, self._topics = self._topics, topics
+        for topic in replaced.values():
+            async with topic.records_added:
+                topic.records_added.notify_all()
+
     def topic(self, name):
         """Return a topic, which is created on first use."""
         return self._topics.setdefault(name, Topic())
@@ -114,24 +137,32 @@
         refusal = self._refusal(request)
         if refusal is not None:
             return refusal
-        topic = self.topic(request.query["topic"])
+        name = request.query["topic"]
+        topic = self.topic(name)
         start = int(request.query["from"])
         wait_s = int(request.query.get("wait_ms", 0)) / 1000
-        async with topic.records_added:
-            try:
-                async with asyncio.timeout(wait_s):
-                    await topic.records_added.wait_for(
-                        lambda: topic.next_offset > start
-                    )
-            except TimeoutError:
-                pass
-        if start < topic.first_offset:
+        if topic.first_offset <= start <= topic.next_offset:
+            await self._wait_for_records(topic, name, start, wait_s)
+        if topic is not self.topic(name):
+            request.transport.abort()
+            return web.Response(status=503)
+        if not topic.first_offset <= start <= topic.next_offset:
             return web.json_response({"first": topic.first_offset}, status=410)
         raws = topic.records[start - topic.first_offset :]
         body = OFFSETS.pack(topic.next_offset, topic.first_offset)
         body += b"".join(LENGTH.pack(len(raw)) + raw for raw in raws)
         return web.Response(body=body)
 
+    async def _wait_for_records(self, topic, name, start, wait_s):
+        async with topic.records_added:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_s):
+                    await topic.records_added.wait_for(
+                        lambda: (
+                            topic.next_offset > start or topic is not self.topic(name)
+                        )
+                    )
+
     async def _newest(self, request):
         refusal = self._refusal(request)
         if refusal is not None:
--- a/tests/test_config_followers.py
+++ b/tests/test_config_followers.py
@@ -7,9 +7,10 @@
 
 import asyncio
 
-from dandelionarch.core.keyed_log import KeyedLog
+from dandelionarch.core.keyed_log import KeyedLog, Position
 from dandelionarch.core.placement import FOLLOWERS_PER_DATA_CENTRE
-from dandelionarch.daemon.follower import LONG_POLL_S
+from dandelionarch.daemon.follower import LONG_POLL_S, MAX_RETRY_DELAY_S
+from dandelionarch.ids import Offset
 from tests.support.config_fleet import Daemon, config_record, stop
 from tests.support.memory_log import MemoryLog
 from tests.support.virtual_loop import run_virtual
@@ -41,7 +42,7 @@
         return await self._topic.read(offset, wait_s)
 
     async def append(self, record):
-        await self._topic.append(record)
+        return await self._topic.append(record)
 
 
 class BusyLog(MemoryLog):
@@ -55,6 +56,7 @@
         await asyncio.sleep(APPEND_S)
         self._records.append(record)
         waiting.set()
+        return Position(self._era, Offset(len(self._records) - 1))
 
 
 async def start(topic):
@@ -198,3 +200,67 @@
             return daemon.revision
 
         assert run_virtual(main()) == 2
+
+
+class TestRestoredStore:
+    """A store that comes back from an older copy gives offsets out again."""
+
+    def play(self, lost, rewritten):
+        """Play a return of the store that no daemon sees before the last change.
+
+        The store loses `lost` of four revisions; the operator writes `rewritten`.
+        """
+
+        async def main():
+            topic = MemoryLog()
+            fleet = await start(topic)
+            for revision in range(2, 5):
+                await topic.append(config_record(revision))
+                await wait_for_revision(fleet, revision)
+            topic.restore(lost)
+            topic.down = True
+            await asyncio.sleep(MAX_RETRY_DELAY_S)
+            topic.down = False
+            for revision in rewritten:
+                await topic.append(config_record(revision))
+            await asyncio.sleep(MAX_RETRY_DELAY_S)
+            await wait_for_revision(fleet, rewritten[-1])
+            await stop(fleet)
+
+        run_virtual(main())
+
+    def test_as_many_records_written_as_lost(self):
+        """Guards against a reader that waits at an offset that was given out again.
+
+        Revisions 3 and 4 are lost; 4 is written again and 5 follows. All readers come
+        back to the end of the topic, where no record and no error awaits them.
+        """
+        self.play(lost=2, rewritten=[4, 5])
+
+    def test_fewer_records_written_than_lost(self):
+        """Guards against waiting at an offset that the topic does not have."""
+        self.play(lost=3, rewritten=[4, 5])
+
+    def test_more_records_written_than_lost(self):
+        """Guards against going on after records that were never read."""
+        self.play(lost=1, rewritten=[4, 5, 6])
+
+    def test_two_returns(self):
+        """Guards against a second return before a reader has seen the first."""
+
+        async def main():
+            topic = MemoryLog()
+            fleet = await start(topic)
+            for revision in range(2, 5):
+                await topic.append(config_record(revision))
+                await wait_for_revision(fleet, revision)
+            topic.restore(2)
+            await topic.append(config_record(4))
+            topic.restore(2)
+            for revision in range(4, 7):
+                await topic.append(config_record(revision))
+            await asyncio.sleep(MAX_RETRY_DELAY_S)
+            await wait_for_revision(fleet, 6)
+            await stop(fleet)
+
+        run_virtual(main())
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -6,18 +6,19 @@
 
 import pytest
 
-from dandelionarch.core.keyed_log import KeyedRecord
+from dandelionarch.core.keyed_log import KeyedRecord, Position
 from dandelionarch.errors import (
     OffsetTruncatedError,
     PlatformRefusedError,
     PlatformUnavailableError,
 )
-from dandelionarch.platform.store import StoreClient, StoreTopic
+from dandelionarch.ids import StoreEra
+from dandelionarch.platform.store import Reply, StoreClient, StoreTopic
 from tests.support.platform.fleet import platform_test
 
 
 class FakeClient:
-    """Client whose calls return bodies or raise errors from a list."""
+    """Client whose calls return replies or raise errors from a list."""
 
     def __init__(self, *answers):
         self.answers = list(answers)
@@ -32,13 +33,14 @@
         return answer
 
 
-def page(items, end, more=False):
+def page(items, end, more=False, era=1):
     """Return a page of newest records, which are given as (key, offset)."""
     items = [
         {"key": key, "value": base64.b64encode(b"v").decode(), "offset": offset}
         for key, offset in items
     ]
-    return json.dumps({"items": items, "more": more, "end": end}).encode()
+    body = json.dumps({"items": items, "more": more, "end": end}).encode()
+    return Reply(body, StoreEra(era))
 
 
 class TestNewest:
@@ -51,13 +53,13 @@
         the store was slow kept an old configuration until the next change.
         """
         topic = StoreTopic(FakeClient(page([("config", 4)], end=9)), "keyed.op")
-        assert asyncio.run(topic.newest()).end == 5
+        assert asyncio.run(topic.newest()).end == Position(1, 5)
 
     def test_deleted_offset_is_not_requested_again(self):
         """Guards against endless reads from before the first retained offset."""
         client = FakeClient(
             page([("config", 4)], end=9),
-            OffsetTruncatedError(7),
+            OffsetTruncatedError(7, era=1),
             page([("config", 4)], end=9),
         )
         topic = StoreTopic(client, "keyed.op")
@@ -65,10 +67,22 @@
         async def follow():
             batch = await topic.newest()
             with pytest.raises(OffsetTruncatedError):
-                await topic.read(batch.end, 1.0)
+                await topic.read(batch.end.offset, 1.0)
             return await topic.newest()
 
-        assert asyncio.run(follow()).end == 7
+        assert asyncio.run(follow()).end == Position(1, 7)
+
+    def test_pages_are_of_one_era(self):
+        """Guards against joining pages from before and after a return of the store."""
+        client = FakeClient(
+            page([("a", 3), ("b", 8)], 9, more=True),
+            page([("c", 1)], 5, era=2),
+            page([("a", 3), ("c", 4)], 5, era=2),
+        )
+        batch = asyncio.run(StoreTopic(client, "keyed.fleet").newest())
+        assert [record.key for record in batch.records] == ["a", "c"]
+        assert batch.end == Position(2, 5)
+        assert "after" not in client.calls[2][1]
 
     def test_pages_are_joined(self):
         """Guards against losing the records that don't fit into the first page."""
@@ -77,7 +91,7 @@
         )
         batch = asyncio.run(StoreTopic(client, "keyed.fleet").newest())
         assert [record.key for record in batch.records] == ["a", "b", "c"]
-        assert batch.end == 9
+        assert batch.end == Position(1, 9)
         assert client.calls[1][1]["after"] == "b"
 
 
@@ -117,5 +131,33 @@
         await asyncio.sleep(0.05)
         await topic.append(KeyedRecord("a", b"x"))
         batch = await asyncio.wait_for(reading, 5.0)
-        assert (batch.records, batch.end) == ((KeyedRecord("a", b"x"),), 1)
+        assert batch.records == (KeyedRecord("a", b"x"),)
+        assert batch.end == Position(fleet.store.era, 1)
+        await client.stop()
+
+    @platform_test
+    async def test_era_of_each_reply(self, fleet, session):
+        """Guards against a restored topic that looks like the one before."""
+        client = StoreClient("127.0.0.1", fleet.store_port)
+        await client.start()
+        topic = client.topic("keyed.fleet")
+        assert await topic.append(KeyedRecord("a", b"x")) == Position(1, 0)
+        await fleet.store.restore({})
+        assert await topic.append(KeyedRecord("b", b"x")) == Position(2, 0)
+        assert (await topic.newest()).end == Position(2, 1)
+        assert (await topic.read(1, 0.01)).end == Position(2, 1)
+        with pytest.raises(OffsetTruncatedError) as raised:
+            await topic.read(2, 0.01)
+        assert raised.value.era == 2
+        await client.stop()
+
+    @platform_test
+    async def test_unreadable_era(self, fleet, session):
+        """Guards against an era that a damaged header field makes up."""
+        client = StoreClient("127.0.0.1", fleet.store_port)
+        await client.start()
+        for era in ("", "x", "-1", "1.5", "9" * 40):
+            fleet.store.era = era
+            with pytest.raises(PlatformUnavailableError):
+                await client.topic("keyed.fleet").newest()
         await client.stop()
