Forget the first offset of a topic that has been restored

A daemon would read the newest records again and again, without a pause, from a store that has come back from a copy with fewer records than it had once deleted.

Cause: after a 410 the newest records end at the first offset that it named, if that is later. The highest one was kept for ever, and is past the end of a topic that has gone back. The first offset is now kept with its era.

test_first_offset_of_an_earlier_era_is_forgotten failed before.

--- a/dandelionarch/platform/store.py
+++ b/dandelionarch/platform/store.py
@@ -131,15 +131,15 @@
     def __init__(self, client, name):
         self.name = name
         self._client = client
-        # Records before this offset can only be read by `newest`.
-        self._first_offset = Offset(0)
+        # Records before this position can only be read by `newest`.
+        self._first = Position(NO_ERA, Offset(0))
 
     async def newest(self):
         pages = await self._read_pages()
         era = pages[0].end.era
         records = tuple(record for page in pages for record in page.records)
         end = max(page.end for page in pages)
-        return Batch(records, max(end, Position(era, self._first_offset)))
+        return Batch(records, max(end, self._first) if self._first.era == era else end)
 
     async def _read_pages(self):
         """Return all pages of the newest records, which are of one era."""
@@ -169,7 +169,7 @@
         try:
             reply = await self._client.call("GET", "log-read", params, wait_s=wait_s)
         except OffsetTruncatedError as exc:
-            self._first_offset = max(self._first_offset, exc.first_offset)
+            self._first = max(self._first, Position(exc.era, Offset(exc.first_offset)))
             raise
         return _decode_read(reply, offset)
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -72,6 +72,23 @@
 
         assert asyncio.run(follow()).end == Position(1, 7)
 
+    def test_first_offset_of_an_earlier_era_is_forgotten(self):
+        """Guards against endless reads from past the end of a restored topic.
+
+        The store had deleted all records before offset 7, and comes back with five.
+        """
+        client = FakeClient(
+            OffsetTruncatedError(7, era=1), page([("config", 4)], end=5, era=2)
+        )
+        topic = StoreTopic(client, "keyed.op")
+
+        async def follow():
+            with pytest.raises(OffsetTruncatedError):
+                await topic.read(3, 1.0)
+            return await topic.newest()
+
+        assert asyncio.run(follow()).end == Position(2, 5)
+
     def test_pages_are_of_one_era(self):
         """Guards against joining pages from before and after a return of the store."""
         client = FakeClient(
