Write a registry entry again that the store has lost

Cause: an acknowledged entry was taken to last. Its owner wrote it again only after it had read an older edition; where the copy holds none, it reads nothing of it. Ruled out: a write that was refused or late (all four were acknowledged 4 s before the copy's loss and were read by others).

An owner now remembers at which position its entry was acknowledged. If the newest records of all keys, read later than that, lack the entry or hold an older edition, it writes it again and reads once more, as a daemon that starts does: of any two daemons the one that writes later finds the other. Entries that stand are not written again. The reads of a whole fleet are spread over time.

--- a/dandelionarch/core/keyed_log.py
+++ b/dandelionarch/core/keyed_log.py
@@ -31,10 +31,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Batch:
-    """Records in order, and the position after the last one."""
+    """Records in order, and the position after the last one.
+
+    `is_whole` is True if these are the newest records of all keys, so that a key that
+    is missing here is missing in the topic.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: Position
+    is_whole: bool = False
 
 
 class KeyedLog(ABC):
@@ -44,7 +49,7 @@
 
     @abstractmethod
     async def newest(self):
-        """Return the newest record of each key as a `Batch`."""
+        """Return the newest record of each key as a whole `Batch`."""
 
     @abstractmethod
     async def read(self, offset, wait_s):
--- a/dandelionarch/core/registry.py
+++ b/dandelionarch/core/registry.py
@@ -16,7 +16,8 @@
     """This daemon's own entry, and the entries of the others in the directory.
 
     Each VM has one entry, which only its daemon writes. If a late or repeated write
-    restores an old entry, its owner writes the current one again.
+    restores an old entry, or the store comes back from a copy without the current one,
+    its owner writes the current one again.
 
     Parameters
     ----------
@@ -31,6 +32,8 @@
         self._edition = 0
         self._entries = {}
         self._own_version_read = (0, 0)
+        self._own_version_written = (0, 0)
+        self._own_position = None
 
     def new_entry(self):
         """Return a new edition of this daemon's entry."""
@@ -73,6 +76,25 @@
             self._entries[entry.vm_id] = entry
         return False
 
+    def on_written(self, entry, position):
+        """Record that the store has acknowledged this daemon's entry at a position."""
+        self._own_version_written = _version(entry)
+        self._own_position = position
+
+    def has_lost(self, entry, end):
+        """Return True if the store has lost the entry that it had acknowledged.
+
+        Parameters
+        ----------
+        entry : VmEntry or None
+            This daemon's entry among the newest records of the store.
+        end : Position
+            Position after these records.
+        """
+        if self._own_position is None or end <= self._own_position:
+            return False
+        return entry is None or _version(entry) < self._own_version_written
+
     def entries(self):
         """Return the known entries of all VMs."""
         return tuple(self._entries.values())
--- a/dandelionarch/daemon/config_keeper.py
+++ b/dandelionarch/daemon/config_keeper.py
@@ -45,7 +45,7 @@
         self.history = RecordHistory()
         self.follower = Follower(
             topic,
-            self._on_records,
+            self._on_batch,
             rng=rng,
             can_skip_reads=can_skip_reads,
             first_poll_s=FIRST_POLL_S,
@@ -54,8 +54,8 @@
         self._routing = routing
         self._on_change = on_change
 
-    def _on_records(self, records):
-        for record in records:
+    def _on_batch(self, batch):
+        for record in batch.records:
             if record.key == self._format.key and record.value:
                 self.apply_record(record.value, "store")
 
--- a/dandelionarch/daemon/follower.py
+++ b/dandelionarch/daemon/follower.py
@@ -29,7 +29,7 @@
 
 
 class Follower:
-    """Passes every batch of a topic's records to `on_records`, oldest first.
+    """Passes every batch of a topic's records to `on_batch`, oldest first.
 
     If the store has dropped records before they were read, or has come back from an
     older copy of its records, the newest record of each key is delivered again, so the
@@ -38,8 +38,8 @@
     Parameters
     ----------
     topic : KeyedLog
-    on_records : callable
-        Called with a tuple of `KeyedRecord`.
+    on_batch : callable
+        Called with each `Batch` that has records or is whole.
     pause_s : float
         Minimum pause between two reads, unless `read_soon` is called.
     rng : random.Random, optional
@@ -51,6 +51,9 @@
         Wait in seconds of the first read after a batch or an error; it grows with each
         read without records. The store may not answer a read that begins while a record
         is written before the next record or the end of the read's wait.
+    reread_delay_s : callable, optional
+        Returns the seconds to wait before the topic is read again as a whole because
+        the store has been restored, which all daemons see at about the same time.
 
     Attributes
     ----------
@@ -65,14 +68,16 @@
     def __init__(
         self,
         topic,
-        on_records,
+        on_batch,
         pause_s=0.0,
         rng=None,
         can_skip_reads=lambda: False,
         first_poll_s=LONG_POLL_S,
+        reread_delay_s=lambda: 0.0,
     ):
         self._topic = topic
-        self._on_records = on_records
+        self._on_batch = on_batch
+        self._reread_delay_s = reread_delay_s
         self._pause_s = pause_s
         self._rng = rng or random.Random()
         self._position = None
@@ -94,9 +99,7 @@
             try:
                 batch = await self._read_batch()
             except OffsetTruncatedError as exc:
-                if not self._has_left_era(exc.era):
-                    event(log, "topic_truncated", topic=self._topic.name, detail=exc)
-                    self._position = None
+                await self._on_truncated(exc)
                 continue
             except PlatformError as exc:
                 self._poll_s = self._first_poll_s
@@ -104,36 +107,47 @@
                 await asyncio.sleep(retry_delay_s(self._rng))
                 continue
             self._on_store_regained()
-            if self._has_left_era(batch.end.era):
+            self.era = batch.end.era
+            if self._is_of_earlier_era():
+                await self._leave_earlier_era()
                 continue
             self._log_read(batch)
             self._position = batch.end
-            if batch.records:
-                self._on_records(batch.records)
+            if batch.records or batch.is_whole:
+                self._on_batch(batch)
             self.caught_up.set()
             await self._wait(self._pause_s)
             await self._skip_reads()
 
-    def _has_left_era(self, era):
-        """Return True if the position is of an earlier era, and drop it.
+    async def _on_truncated(self, exc):
+        self.era = exc.era
+        if self._is_of_earlier_era():
+            await self._leave_earlier_era()
+            return
+        event(log, "topic_truncated", topic=self._topic.name, detail=exc)
+        self._position = None
+
+    def _is_of_earlier_era(self):
+        """Return True if the position is of another era than the store's.
 
         It may stand for other records now, or for the end of the topic, where a reader
         would wait without an error.
         """
-        self.era = era
-        if self._position is None or self._position.era == era:
-            return False
+        return self._position is not None and self._position.era != self.era
+
+    async def _leave_earlier_era(self):
+        """Drop the position, so that the topic is read again as a whole."""
         event(
             log,
             "store_restored",
             logging.WARNING,
             topic=self._topic.name,
-            era=era,
+            era=self.era,
             previous=self._position.era,
             offset=self._position.offset,
         )
         self._position = None
-        return True
+        await asyncio.sleep(self._reread_delay_s())
 
     async def _wait(self, pause_s):
         """Wait `pause_s` or until a read is requested; return True if it was."""
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -25,6 +25,9 @@
 # fleet. Peers send their entries over links, so the pause only delays entries of VMs
 # without a link to this daemon, which sends requests to a few of those at most.
 READ_PAUSE_S = 30.0
+# Rate at which a fleet reads all entries again after the store has been restored. An
+# entry takes about 0.5 KB as base64, so that 900 daemons read 45 MB/s.
+REREADS_PER_S = 100
 # Endpoints report about every 1.5 s.
 FIRST_ENTRY_DELAY_S = 2.0
 
@@ -44,6 +47,7 @@
 
     def __init__(self, topic, directory, vm, network, rng=None):
         self._topic = topic
+        self._directory = directory
         self._network = network
         self._codec = network.codec
         self._rng = rng or random.Random()
@@ -51,7 +55,14 @@
         self._entry = None
         self._entry_changed = asyncio.Event()
         self._entry_written = asyncio.Event()
-        self.follower = Follower(topic, self._on_records, READ_PAUSE_S, self._rng)
+        self._reads_after_write = True
+        self.follower = Follower(
+            topic,
+            self._on_batch,
+            READ_PAUSE_S,
+            self._rng,
+            reread_delay_s=self._reread_delay_s,
+        )
         network.subscribe(VmEntry, lambda link, entry: self.apply_peer_entry(entry))
         network.subscribe_link_opened(self._send_entry)
 
@@ -62,6 +73,9 @@
         self._entry_written.clear()
         self._entry_changed.set()
 
+    def _reread_delay_s(self):
+        return self._rng.uniform(0, len(self._directory.live_vms()) / REREADS_PER_S)
+
     def _send_entry(self, link):
         """Send this VM's entry to a peer, which may not know it yet."""
         with contextlib.suppress(LinkError):
@@ -104,15 +118,14 @@
             async with asyncio.timeout(FIRST_ENTRY_DELAY_S):
                 await self._entry_changed.wait()
         self._entry_changed.set()
-        needs_read = True
         while True:
             await self._entry_changed.wait()
             self._entry_changed.clear()
             try:
                 await self._write()
-                if needs_read:
+                if self._reads_after_write:
                     self.follower.read_soon()
-                    needs_read = False
+                    self._reads_after_write = False
             except PlatformError as exc:
                 event(
                     log,
@@ -128,6 +141,7 @@
         entry = self._current_entry()
         _, value = self._codec.encode(entry)
         position = await self._topic.append(KeyedRecord(entry.vm_id, value))
+        self._registry.on_written(entry, position)
         event(
             log,
             "entry_written",
@@ -140,8 +154,9 @@
         if not self._entry_changed.is_set():
             self._entry_written.set()
 
-    def _on_records(self, records):
-        for record in records:
+    def _on_batch(self, batch):
+        own_entry = None
+        for record in batch.records:
             if not record.value:
                 continue
             try:
@@ -150,9 +165,20 @@
             except (MessageDecodeError, ValueError) as exc:
                 _log_unreadable(record.key, exc)
                 continue
+            if entry.vm_id == self._registry.vm.vm_id:
+                own_entry = entry
             if must_rewrite:
                 event(log, "entry_superseded", edition=entry.edition)
                 self.announce()
+        if batch.is_whole and self._registry.has_lost(own_entry, batch.end):
+            self._on_entry_lost(batch.end)
+
+    def _on_entry_lost(self, end):
+        """Write the entry again, then read those that were written meanwhile."""
+        event(log, "entry_lost", logging.WARNING, era=end.era, end=end.offset)
+        self._reads_after_write = True
+        self._entry_written.clear()
+        self._entry_changed.set()
 
     def _decode(self, record):
         entry = self._codec.decode(Channel.REGISTRY, record.value)
--- a/dandelionarch/platform/store.py
+++ b/dandelionarch/platform/store.py
@@ -139,7 +139,9 @@
         era = pages[0].end.era
         records = tuple(record for page in pages for record in page.records)
         end = max(page.end for page in pages)
-        return Batch(records, max(end, self._first) if self._first.era == era else end)
+        if self._first.era == era:
+            end = max(end, self._first)
+        return Batch(records, end, is_whole=True)
 
     async def _read_pages(self):
         """Return all pages of the newest records, which are of one era."""
--- a/tests/support/memory_log.py
+++ b/tests/support/memory_log.py
@@ -34,6 +34,10 @@
         self._era += 1
         self._wake_reads()
 
+    def keys(self):
+        """Return the keys of the topic's records."""
+        return {record.key for record in self._records}
+
     def _wake_reads(self):
         self._record_appended.set()
         self._record_appended = asyncio.Event()
@@ -42,14 +46,15 @@
         if self.down:
             raise PlatformUnreachableError("the topic is down")
 
-    def _batch(self, records):
-        return Batch(tuple(records), Position(self._era, Offset(len(self._records))))
+    def _batch(self, records, is_whole=False):
+        end = Position(self._era, Offset(len(self._records)))
+        return Batch(tuple(records), end, is_whole)
 
     async def newest(self):
         self.reads += 1
         self._raise_if_down()
         newest = {record.key: record for record in self._records}
-        return self._batch(newest.values())
+        return self._batch(newest.values(), is_whole=True)
 
     async def read(self, offset, wait_s):
         self.reads += 1
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -8,6 +8,7 @@
 
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.endpoint_reports import EndpointReport, EndpointReports
+from dandelionarch.core.keyed_log import Position
 from dandelionarch.core.registry import Registry
 from dandelionarch.core.world import UNKNOWN_START, Endpoint, EndpointState, Vm, VmState
 from dandelionarch.wire.codec import Codec
@@ -108,6 +109,37 @@
     return dataclasses.replace(report, **fields)
 
 
+class TestLostEntries:
+    """An acknowledged entry that the store no longer has."""
+
+    def make_registry(self):
+        """Return a registry whose second entry is at offset 7, and its two entries."""
+        registry = Daemon("vm-a").registry
+        first, second = registry.new_entry(), registry.new_entry()
+        registry.on_written(first, Position(1, 4))
+        registry.on_written(second, Position(1, 7))
+        return registry, first, second
+
+    def test_entry_that_is_missing_or_old_is_lost(self):
+        """Guards against an owner that reads nothing of its entry and keeps still."""
+        registry, first, second = self.make_registry()
+        assert registry.has_lost(None, Position(2, 0))
+        assert registry.has_lost(first, Position(2, 5))
+        assert not registry.has_lost(second, Position(2, 8))
+
+    def test_records_from_before_the_write_prove_nothing(self):
+        """Guards against writing an entry twice at each start."""
+        registry, first, _ = self.make_registry()
+        assert not registry.has_lost(first, Position(1, 5))
+        assert registry.has_lost(first, Position(1, 8))
+
+    def test_entry_that_was_never_written_is_not_lost(self):
+        """Guards against an entry written before the endpoint's first report."""
+        registry = Daemon("vm-a").registry
+        registry.new_entry()
+        assert not registry.has_lost(None, Position(3, 9))
+
+
 class TestReports:
     """Reports that are late, repeated or from a former endpoint are ignored."""
 
--- a/tests/test_registry_service.py
+++ b/tests/test_registry_service.py
@@ -219,3 +219,50 @@
             task.cancel()
 
         run(check)
+
+
+class TestRestoredStore:
+    """The store comes back from a copy that lacks the newest entries."""
+
+    LOST = 10
+
+    def test_lost_entries_are_written_again(self, monkeypatch):
+        """Guards against endpoints that no daemon which starts later can find.
+
+        On kintaat-fi, four VMs joined before a return and six after it. The six never
+        learned of the four, as nobody wrote the entries of these again. The entries
+        that the copy has are not written again.
+        """
+        monkeypatch.setattr(registry_module, "READ_PAUSE_S", 0.2)
+
+        async def check(topic, members):
+            await report_all_and_wait(topic, members)
+            appends = topic.appends
+            for _ in range(2):
+                topic.restore(self.LOST)
+                await wait_until(lambda: len(topic.keys()) == len(members))
+            assert topic.appends - appends == 2 * self.LOST
+            joiner = Member({}, topic, "vm-zz")
+            task = asyncio.create_task(joiner.service.follower.run())
+            await wait_until(lambda: all(joiner.knows(m) for m in members))
+            task.cancel()
+
+        run(check)
+
+    def test_entries_written_during_the_return_are_read(self, monkeypatch):
+        """Guards against two VMs that never meet, as each wrote before the other read.
+
+        A VM joins after the return and reads before the lost entries are written again.
+        """
+        monkeypatch.setattr(registry_module, "READ_PAUSE_S", 0.2)
+
+        async def check(topic, members):
+            await report_all_and_wait(topic, members)
+            topic.restore(self.LOST)
+            joiner = Member({}, topic, "vm-zz")
+            joiner.report()
+            task = asyncio.create_task(joiner.service.run())
+            await wait_until(lambda: all(m.knows(joiner) for m in members))
+            task.cancel()
+
+        run(check)
