Tell peers and all topics when the store has been restored

A VM that had joined before a return of the store stayed unknown to those that joined after it for up to 55 s: its daemon rested between two reads of the registry, and so did not see that its entry was lost.

Cause: the era was seen only by the topic that was read. Notices between daemons now tell the era too, over links that open, and once to a sample of peers when it has risen. A daemon that hears of an era that the store has not shown to it reads the registry; it believes only the store's reply, as its own reads and writes are bound to that. A topic's reply has the other topic of the same daemon read as well. Reads after an error or a request are short, since a long read at the topic's end would wait for the reply that tells the era.

--- a/dandelionarch/core/messages/registry.py
+++ b/dandelionarch/core/messages/registry.py
@@ -66,9 +66,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigNotice:
-    """Announce that the sender has activated this revision of the configuration."""
+    """Announce what the sender has: the active revision and the era of the store.
+
+    The era is that of the latest reply that the sender has had from the store, or 0.
+    """
 
     revision: int
+    store_era: int = 0
 
 
 MESSAGES = (VmEntry, StateQuery, StateAnswer, ConfigNotice)
--- a/dandelionarch/daemon/config_keeper.py
+++ b/dandelionarch/daemon/config_keeper.py
@@ -26,6 +26,8 @@
     rng : random.Random, optional
     can_skip_reads : callable
         Returns True while enough peers follow the store in place of this daemon.
+    on_restored : callable, optional
+        Called when the store has come back from an older copy.
 
     Attributes
     ----------
@@ -41,6 +43,7 @@
         on_change,
         rng=None,
         can_skip_reads=lambda: False,
+        on_restored=lambda: None,
     ):
         self.history = RecordHistory()
         self.follower = Follower(
@@ -49,6 +52,7 @@
             rng=rng,
             can_skip_reads=can_skip_reads,
             first_poll_s=FIRST_POLL_S,
+            on_restored=on_restored,
         )
         self._format = config_format
         self._routing = routing
--- a/dandelionarch/daemon/follower.py
+++ b/dandelionarch/daemon/follower.py
@@ -19,6 +19,9 @@
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 1.0
 SKIP_CHECK_S = 0.25
+# Wait of a read after an error or a request. The era of its reply shows whether the
+# store has been restored, which a longer read at the topic's end would show late.
+SHORT_POLL_S = 0.5
 # Bounds the delay of a change that no peer announced.
 MAX_SKIP_S = 20.0
 
@@ -48,12 +51,15 @@
         Returns True while peers read the topic and announce its changes, so that this
         daemon need not read it. By default it always reads.
     first_poll_s : float, optional
-        Wait in seconds of the first read after a batch or an error; it grows with each
-        read without records. The store may not answer a read that begins while a record
-        is written before the next record or the end of the read's wait.
+        Wait in seconds of the first read after a batch; it grows with each read without
+        records, and is `SHORT_POLL_S` at most after an error or a request. The store
+        may not answer a read that begins while a record is written before the next
+        record or the end of the read's wait.
     reread_delay_s : callable, optional
         Returns the seconds to wait before the topic is read again as a whole because
         the store has been restored, which all daemons see at about the same time.
+    on_restored : callable, optional
+        Called without arguments when the store has been restored.
 
     Attributes
     ----------
@@ -74,10 +80,12 @@
         can_skip_reads=lambda: False,
         first_poll_s=LONG_POLL_S,
         reread_delay_s=lambda: 0.0,
+        on_restored=lambda: None,
     ):
         self._topic = topic
         self._on_batch = on_batch
         self._reread_delay_s = reread_delay_s
+        self._on_restored = on_restored
         self._pause_s = pause_s
         self._rng = rng or random.Random()
         self._position = None
@@ -90,7 +98,7 @@
         self.caught_up = asyncio.Event()
 
     def read_soon(self):
-        """Start the next read at once instead of after the pause."""
+        """Start the next read at once instead of after the pause, as a short one."""
         self._read_requested.set()
 
     async def run(self):
@@ -102,7 +110,7 @@
                 await self._on_truncated(exc)
                 continue
             except PlatformError as exc:
-                self._poll_s = self._first_poll_s
+                self._shorten_poll()
                 self._on_store_lost(exc)
                 await asyncio.sleep(retry_delay_s(self._rng))
                 continue
@@ -147,6 +155,7 @@
             offset=self._position.offset,
         )
         self._position = None
+        self._on_restored()
         await asyncio.sleep(self._reread_delay_s())
 
     async def _wait(self, pause_s):
@@ -155,9 +164,14 @@
             async with asyncio.timeout(pause_s):
                 await self._read_requested.wait()
         requested = self._read_requested.is_set()
-        self._read_requested.clear()
+        if requested:
+            self._read_requested.clear()
+            self._shorten_poll()
         return requested
 
+    def _shorten_poll(self):
+        self._poll_s = min(self._first_poll_s, SHORT_POLL_S)
+
     async def _skip_reads(self):
         """Wait while peers read in place of this daemon, up to `MAX_SKIP_S`."""
         if not self._can_skip_reads():
@@ -200,7 +214,7 @@
 
     def _longer_poll_s(self):
         growth = POLL_GROWTH * self._rng.uniform(*POLL_SPREAD)
-        return min(LONG_POLL_S, growth * self._poll_s)
+        return min(LONG_POLL_S, max(self._first_poll_s, growth * self._poll_s))
 
     def _on_store_lost(self, exc):
         if self.available or not self.caught_up.is_set():
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -43,9 +43,13 @@
         The VM of this daemon.
     network : PeerNetwork
     rng : random.Random, optional
+    on_restored : callable, optional
+        Called when the store has come back from an older copy.
     """
 
-    def __init__(self, topic, directory, vm, network, rng=None):
+    def __init__(
+        self, topic, directory, vm, network, rng=None, on_restored=lambda: None
+    ):
         self._topic = topic
         self._directory = directory
         self._network = network
@@ -62,6 +66,7 @@
             READ_PAUSE_S,
             self._rng,
             reread_delay_s=self._reread_delay_s,
+            on_restored=on_restored,
         )
         network.subscribe(VmEntry, lambda link, entry: self.apply_peer_entry(entry))
         network.subscribe_link_opened(self._send_entry)
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -201,6 +201,7 @@
             self.vm,
             self.network,
             self._rng,
+            self._on_store_restored,
         )
         self.endpoints = LocalEndpoints(
             self.directory,
@@ -225,6 +226,7 @@
             self._on_config,
             self._rng,
             self._can_skip_reads,
+            self._on_store_restored,
         )
         self._link_keeper = LinkKeeper(self.network, self.directory, self._neighbours)
         followers = (self._config_keeper.follower, self.registry.follower)
@@ -321,6 +323,9 @@
         leave.cancel()
         await asyncio.gather(leave, return_exceptions=True)
 
+    def _on_store_restored(self):
+        self._state_copier.on_store_restored()
+
     def _on_config(self, config):
         self._state_copier.send_notices()
         self.http.use_bounds(config.bounds)
@@ -331,6 +336,15 @@
         """Return the revision of the active configuration."""
         return self.routing.revision
 
+    @property
+    def store_era(self):
+        """Return the newest era of the store that its replies have shown."""
+        return max(self._config_keeper.follower.era, self.registry.follower.era)
+
+    def check_store(self):
+        """Read the registry soon, and with it the era of the store."""
+        self.registry.follower.read_soon()
+
     @property
     def config_history(self):
         """Return the `RecordHistory` of the active configurations."""
--- a/dandelionarch/daemon/state_copy.py
+++ b/dandelionarch/daemon/state_copy.py
@@ -6,6 +6,7 @@
 import random
 from dataclasses import dataclass
 
+from dandelionarch.core.keyed_log import NO_ERA
 from dandelionarch.core.messages.registry import (
     ConfigNotice,
     RecordDelta,
@@ -53,8 +54,9 @@
     followers : sequence of Follower
         Peers are asked for a copy while one of these is not available.
     state : object
-        Has `revision`, `config_history` (a `RecordHistory`), `entries()`, and
-        `apply_peer_state(answer, vm_id)`.
+        Has `revision`, `store_era`, `config_history` (a `RecordHistory`), `entries()`,
+        `apply_peer_state(answer, vm_id)`, and `check_store()`, which has the store read
+        soon.
     rng : random.Random, optional
     is_near : callable, optional
         `is_near(vm_id)` returns True for VMs in this daemon's data centre.
@@ -79,6 +81,7 @@
         self._can_skip_reads = can_skip_reads
         self._is_asking = False
         self._announced = NOTHING_ANNOUNCED
+        self._told_era = self._heard_era = NO_ERA
         network.subscribe(StateQuery, self._on_query)
         network.subscribe(ConfigNotice, self._on_notice)
         network.subscribe_link_opened(self._send_notice)
@@ -95,7 +98,7 @@
                 await self._catch_up()
 
     def send_notices(self):
-        """Announce the active revision to a random sample of peers."""
+        """Announce revision and era to a random sample of peers."""
         links = {link.vm_id: link for link in self._network.all_links()}
         near = [link for vm_id, link in links.items() if self._is_near(vm_id)]
         far = [link for vm_id, link in links.items() if not self._is_near(vm_id)]
@@ -105,19 +108,40 @@
         for link in recipients:
             self._send_notice(link)
 
+    def on_store_restored(self):
+        """Have all topics read, and tell peers, once for each era of the store."""
+        if self._state.store_era > self._told_era:
+            self._told_era = self._state.store_era
+            self._state.check_store()
+            self.send_notices()
+
     def _send_notice(self, link):
-        """Announce the active revision over one link.
+        """Announce revision and era over one link.
 
         A link that opens needs this as well, as changes that were announced before are
         not announced again.
         """
         with contextlib.suppress(LinkError):
-            link.send(ConfigNotice(self._state.revision))
+            link.send(ConfigNotice(self._state.revision, self._state.store_era))
 
     def _sample(self, links, count):
         return self._rng.sample(links, min(count, len(links)))
 
+    def _on_era(self, era, vm_id):
+        """Read the store if a peer has seen an era that this daemon has not.
+
+        The peer's word proves nothing of this daemon's own reads and writes; the era of
+        the store's reply does. A daemon that has read nothing yet reads in any case.
+        """
+        known = self._state.store_era
+        if known == NO_ERA or era <= max(known, self._heard_era):
+            return
+        self._heard_era = era
+        event(log, "era_behind", era=known, newer=era, vm=vm_id)
+        self._state.check_store()
+
     async def _on_notice(self, link, notice):
+        self._on_era(notice.store_era, link.vm_id)
         if notice.revision <= self._state.revision:
             return
         if not self._can_skip_reads():
--- a/dandelionarch/wire/registry.capnp
+++ b/dandelionarch/wire/registry.capnp
@@ -34,6 +34,7 @@
 
 struct ConfigNotice {
   revision @0 :UInt64;
+  storeEra @1 :UInt64;
 }
 
 struct Envelope {
--- a/tests/support/config_fleet.py
+++ b/tests/support/config_fleet.py
@@ -135,6 +135,7 @@
             lambda config: self.copier.send_notices(),
             rng,
             self.can_skip_reads,
+            lambda: self.copier.on_store_restored(),
         )
         self.copier = StateCopier(
             self,
@@ -164,6 +165,15 @@
         """Return the active revision."""
         return self.routing.revision
 
+    @property
+    def store_era(self):
+        """Return the newest era that this daemon has read."""
+        return self.keeper.follower.era
+
+    def check_store(self):
+        """Read the topic soon."""
+        self.keeper.follower.read_soon()
+
     @property
     def config_history(self):
         """Return the records of the active configurations."""
--- a/tests/support/platform/store.py
+++ b/tests/support/platform/store.py
@@ -80,6 +80,10 @@
         """Return a topic, which is created on first use."""
         return self._topics.setdefault(name, Topic())
 
+    def keys(self, name):
+        """Return the keys that a topic has records of."""
+        return {key for key, _, _ in self._newest_of(self.topic(name))}
+
     async def put(self, name, key, value):
         """Append a keyed record on behalf of another writer."""
         raw = bytes([len(key)]) + key.encode() + value
--- a/tests/test_platform_faults.py
+++ b/tests/test_platform_faults.py
@@ -4,6 +4,7 @@
 import time
 
 from dandelionarch.core.world import UNKNOWN_START, EndpointState
+from dandelionarch.platform.main import OPERATOR_TOPIC, REGISTRY_TOPIC
 from tests.support.path import until
 from tests.support.platform.fleet import ROUTES, ask, config, platform_test, route
 from tests.support.platform.worker import WorkerStandin, answer, reset_connection
@@ -174,3 +175,59 @@
         assert daemon.routing.revision == 9
         status, _, _ = await ask(session, fleet, "vm-a", "/place/1", method="POST")
         assert status == 404
+
+
+class TestRestoredStore:
+    """The store comes back from a copy that is some seconds old."""
+
+    @platform_test
+    async def test_joined_worker_is_found_after_the_return(self, fleet, session):
+        """Guards against workers that no daemon which joins later sends work to.
+
+        vm-c joined after the copy was made, and rests between two reads of the
+        registry; vm-a, which reads the configuration, sees the store's return.
+        """
+        for vm in ("vm-a", "vm-b"):
+            await fleet.daemon(vm)
+        await fleet.configure()
+        await fleet.worker("vm-a", session=session)
+        copy = fleet.store.copy()
+        await fleet.daemon("vm-c")
+        await fleet.worker("vm-c", session=session)
+        await fleet.wait_for_links()
+        await until(lambda: "vm-c" in fleet.store.keys(REGISTRY_TOPIC), "entry written")
+        await fleet.store.restore(copy)
+        await until(lambda: "vm-c" in fleet.store.keys(REGISTRY_TOPIC), "written again")
+        joined = await fleet.daemon("vm-d")
+        await until(lambda: "i-vm-c" in joined.directory.endpoints, "worker known")
+
+    @platform_test
+    async def test_change_after_the_return_is_applied(self, fleet, session):
+        """Guards against readers that wait at an offset that was given out again."""
+        for vm in ("vm-a", "vm-b"):
+            await fleet.daemon(vm)
+        await fleet.configure(version=1)
+        copy = fleet.store.copy()
+        await fleet.configure(version=4)
+        await fleet.configure(version=9)
+        fleet.store.unavailable = True
+        await fleet.store.restore(copy)
+        await fleet.store.put(OPERATOR_TOPIC, "config", config(9))
+        await fleet.store.put(OPERATOR_TOPIC, "config", config(11))
+        fleet.store.unavailable = False
+        for daemon in fleet.daemons.values():
+            await until(lambda d=daemon: d.routing.revision == 11, "change in force")
+
+    @platform_test
+    async def test_confirmed_change_is_not_withdrawn(self, fleet, session):
+        """Guards against a return to the revision of the copy."""
+        await fleet.daemon("vm-a")
+        await fleet.configure(version=1)
+        copy = fleet.store.copy()
+        await fleet.configure(version=4)
+        await fleet.store.restore(copy)
+        daemon = fleet.daemons["vm-a"]
+        await until(lambda: daemon.store_era == 2, "return seen")
+        await fleet.store.put(OPERATOR_TOPIC, "config", config(3))
+        await asyncio.sleep(0.3)
+        assert daemon.routing.revision == 4
--- a/tests/test_state_copy.py
+++ b/tests/test_state_copy.py
@@ -58,6 +58,8 @@
 
     def __init__(self):
         self.revision = 7
+        self.store_era = 1
+        self.store_checks = 0
         self.config_history = RecordHistory()
         self.config_history.add(6, b"six")
         self.config_history.add(7, b"seven")
@@ -66,6 +68,9 @@
     def entries(self):
         return ()
 
+    def check_store(self):
+        self.store_checks += 1
+
     def apply_peer_state(self, answer, vm_id):
         self.applied.append((answer.config, vm_id))
 
@@ -212,3 +217,36 @@
         answer = network.handlers[StateQuery]
         assert answer(FakeLink(), StateQuery(6)).entries == ()
         assert answer(FakeLink(), StateQuery(6, entries=True)).entries == ("entry",)
+
+
+class TestStoreEra:
+    """Daemons tell each other that the store has come back from an older copy."""
+
+    def deliver_eras(self, state, *eras):
+        """Deliver notices with these eras; return the number of checks."""
+        network = FakeNetwork()
+        StateCopier(network, [], state)
+        for era in eras:
+            notice = ConfigNotice(state.revision, era)
+            asyncio.run(network.handlers[ConfigNotice](FakeLink(), notice))
+        return state.store_checks
+
+    def test_newer_era_has_the_store_read_once(self):
+        """Guards against a read for each of the notices of a whole fleet."""
+        assert self.deliver_eras(State(), 1, 2, 2, 1, 3, 3) == 2
+
+    def test_first_read_is_not_repeated(self):
+        """Guards against twice as many reads at the start of a fleet."""
+        state = State()
+        state.store_era = 0
+        assert self.deliver_eras(state, 1) == 0
+
+    def test_era_that_one_topic_shows_is_announced_once(self):
+        """Guards against a topic whose reader rests, and a notice for each topic."""
+        link, state = FakeLink(), State()
+        copier = StateCopier(FakeNetwork([link]), [], state)
+        state.store_era = 2
+        copier.on_store_restored()
+        copier.on_store_restored()
+        assert link.sent == [ConfigNotice(7, 2)]
+        assert state.store_checks == 1
