Grant no claim on an order after the log has come back from a copy

An order under a caller's own key could run a second time: if the log had lost its claim, a home that had not read it granted the key again.

At most one run an order rests on the first claim in log order.

The log service may tell its era (Log-Era), which rises each time it comes back from a copy. A home reads its stream again in a new era, and first appends a mark of it. Until the mark is read back there is no verdict, and new claims that follow within the window are told unavailable, so that their orders end as unknown and run nowhere. What a home has read before stays known to it. The stand-in plays a return (lose_records).

--- a/dandelionarch/core/orders.py
+++ b/dandelionarch/core/orders.py
@@ -22,6 +22,8 @@
 WINDOW_SLICES = 8
 # Well below the 256 KiB that the log accepts, because item sizes are estimates.
 MAX_BATCH_BYTES = 128 << 10
+# Era of a log that has never come back from an older copy of its records.
+FIRST_ERA = 1
 # Estimated size of an item without a stored answer.
 ITEM_BASE_BYTES = 200
 
@@ -89,11 +91,22 @@
     claim_id: str
 
 
+@dataclass(frozen=True, slots=True)
+class EraMark:
+    """States that the log has come back from a copy, in this era, before this record.
+
+    Claims that were granted before may be missing, so claims that follow within the
+    window can't be granted.
+    """
+
+    era: int
+
+
 @dataclass(slots=True)
 class OrderEntry:
     """State of the order under one key.
 
-    `certain` is False if an earlier claim may have been truncated unread. The answer
+    `certain` is False if an earlier claim may have been lost. The answer
     stays in the log, in the record at `answer_offset`: keeping answers in memory
     tripled the memory that each key takes.
     """
@@ -126,6 +139,11 @@
                 return table[key]
         return None
 
+    def values(self):
+        """Yield all values."""
+        for table in self._slices.values():
+            yield from table.values()
+
     def put(self, key, value, time_s):
         """Set the value of a key and the time from which its age counts."""
         for table in self._slices.values():
@@ -187,7 +205,14 @@
     return ITEM_BASE_BYTES + 2 * fields + 2 * len(item.answer.body or b"")
 
 
+def _item_key(item):
+    """Return the key under which an item replaces an earlier one in a queue."""
+    return type(item), item.era if isinstance(item, EraMark) else item.claim_id
+
+
 def _encode(item):
+    if isinstance(item, EraMark):
+        return ["e", item.era]
     if isinstance(item, Claim):
         return ["c", item.key, item.body, item.claim_id, item.vm_id, item.incarnation]
     if isinstance(item, ClaimRelease):
@@ -203,7 +228,7 @@
     return OrderResult(key, claim_id, StoredAnswer(status, pairs, body))
 
 
-_DECODERS = {"c": Claim, "x": ClaimRelease, "r": _decode_result}
+_DECODERS = {"c": Claim, "x": ClaimRelease, "r": _decode_result, "e": EraMark}
 
 
 class OrderFold:
@@ -225,14 +250,19 @@
         self._entries = ExpiringTable(window_s)
         self._released_claims = ExpiringTable(window_s)
         self._gap_end_s = None
+        self._marked_era = FIRST_ERA
 
     def __len__(self):
         return len(self._entries)
 
     def on_history_lost(self, time_s):
-        """Handle the truncation of unread records that are older than `time_s`."""
+        """Handle the loss of records that are older than `time_s`."""
         self._gap_end_s = time_s
 
+    def is_marked(self, era):
+        """Return True if the records so far tell that the log is in this era."""
+        return era <= self._marked_era
+
     def apply(self, record):
         """Fold a record and return its items, or none if it can't be decoded."""
         self._entries.expire(record.time_s)
@@ -244,6 +274,8 @@
         for item in items:
             if isinstance(item, Claim):
                 self._apply_claim(item, record.time_s)
+            elif isinstance(item, EraMark):
+                self._apply_mark(item, record.time_s)
             else:
                 self._apply_outcome(item, record)
         return items
@@ -282,6 +314,17 @@
         entry = OrderEntry(bytes.fromhex(claim.body), claim_id, certain=certain)
         self._entries.put(key, entry, time_s)
 
+    def _apply_mark(self, mark, time_s):
+        if mark.era <= self._marked_era:
+            return
+        self._marked_era = mark.era
+        self.on_history_lost(time_s)
+        for entry in self._entries.values():
+            # The claim may have been appended after the return, under a key whose
+            # first claim was lost.
+            if entry.state is OrderState.CLAIMED:
+                entry.certain = False
+
     def _apply_outcome(self, item, record):
         claim_id = bytes.fromhex(item.claim_id)
         entry = self._entries.get(bytes.fromhex(item.key))
@@ -326,12 +369,12 @@
         return len(self._waiting)
 
     def add(self, item):
-        """Queue an item; replaces one of the same type and claim."""
-        self._waiting[type(item), item.claim_id] = item
+        """Queue an item; replaces one of the same type and claim or era."""
+        self._waiting[_item_key(item)] = item
 
     def confirm(self, item):
         """Remove an item that was read back; return True if it was queued."""
-        return self._waiting.pop((type(item), item.claim_id), None) is not None
+        return self._waiting.pop(_item_key(item), None) is not None
 
     def drop_claim(self, claim_id):
         """Remove a claim whose caller no longer waits for the verdict."""
--- a/dandelionarch/daemon/logclient.py
+++ b/dandelionarch/daemon/logclient.py
@@ -1,12 +1,14 @@
 """Client of the platform's log service."""
 
 import base64
+import logging
 import time
 from email.utils import parsedate_to_datetime
 
 import aiohttp
 
 from dandelionarch.core.messages.streams import LogEntry
+from dandelionarch.core.orders import FIRST_ERA
 from dandelionarch.errors import (
     OffsetTruncatedError,
     PlatformError,
@@ -14,11 +16,17 @@
     PlatformUnreachableError,
     RecordTooLargeError,
 )
-from dandelionarch.ids import Offset
+from dandelionarch.ids import Offset, StoreEra
+from dandelionarch.logs import event
+
+log = logging.getLogger(__name__)
 
 MAX_RECORD_BYTES = 256 << 10
 APPEND_TIMEOUT_S = 5.0
 READ_TIMEOUT_S = 5.0
+# Header field with the number of the log's history. It rises each time the log comes
+# back from an older copy of its records; a log that never does need not send it.
+LOG_ERA = "Log-Era"
 
 
 class LogClient:
@@ -32,12 +40,15 @@
     ----------
     log_time_s : float
         Unix time of the log service at its last reply, from the HTTP Date header.
+    era : StoreEra
+        Highest era of the log service's replies.
     """
 
     def __init__(self, url):
         self._url = url.rstrip("/")
         self._session = None
         self.log_time_s = 0.0
+        self.era = StoreEra(FIRST_ERA)
 
     async def start(self):
         """Open the connection pool."""
@@ -98,6 +109,7 @@
                 method, url, timeout=timeout, **kwargs
             ) as resp:
                 self.log_time_s = _reply_time_s(resp)
+                self._on_era(StoreEra(int(resp.headers.get(LOG_ERA, FIRST_ERA))))
                 if resp.status == 410:
                     body = await resp.json()
                     raise OffsetTruncatedError(body["first_offset"])
@@ -114,6 +126,11 @@
             detail = str(exc) or type(exc).__name__
             raise PlatformUnavailableError(f"log service: {detail}") from exc
 
+    def _on_era(self, era):
+        if era > self.era:
+            event(log, "log_restored", logging.ERROR, era=era, previous=self.era)
+            self.era = era
+
 
 def _reply_time_s(resp):
     try:
--- a/dandelionarch/daemon/order_home.py
+++ b/dandelionarch/daemon/order_home.py
@@ -16,6 +16,7 @@
     Claim,
     ClaimRelease,
     ClaimVerdict,
+    EraMark,
     OrderFold,
     OrderResult,
     StoredAnswer,
@@ -56,6 +57,7 @@
         self._client = client
         self._answers = OrderedDict()
         self._next_offset = 0
+        self._era = client.era
         self._has_gap = False
         self._caught_up = False
         self._available = True
@@ -97,19 +99,26 @@
 
     def _try_claim(self, claim):
         """Return the verdict on a claim, or None while it waits for the log."""
+        if not self.fold.is_marked(self._client.era):
+            return self._begin_claim(EraMark(self._client.era))
         verdict = self.fold.verdict(claim)
         if verdict is ClaimVerdict.TAKEN:
             holder, _ = self.fold.holder(claim.key)
             return verdict if self._known_answer(holder) is None else ClaimVerdict.RAN
         if verdict is not None:
             return verdict
-        if (
-            not self._available
-            and asyncio.get_running_loop().time() < self._probe_after
-        ):
+        return self._begin_claim(claim)
+
+    def _begin_claim(self, item):
+        """Append an item without which there is no verdict, unless the log is away.
+
+        It is the claim, or the mark that tells all homes that claims may be missing.
+        """
+        now = asyncio.get_running_loop().time()
+        if not self._available and now < self._probe_after:
             return ClaimVerdict.UNAVAILABLE
         if self._caught_up:
-            self.queue.add(claim)
+            self.queue.add(item)
             self._has_items.set()
         return None
 
@@ -155,13 +164,27 @@
                         limit=MAX_RECORDS_PER_READ,
                         wait_ms=READ_WAIT_MS if self._caught_up else 0,
                     )
-                await self._apply(records)
+                if self._client.era == self._era:
+                    await self._apply(records)
+                else:
+                    await self._on_restored()
             except OffsetTruncatedError as exc:
                 self._skip_to(exc.first_offset)
             except (PlatformError, TimeoutError):
                 await self._set_available(False)
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    async def _on_restored(self):
+        """Read the stream again, as offsets of an earlier era stand for other records.
+
+        What was read before stays known: applying a record again has no effect.
+        """
+        self._era = self._client.era
+        self._next_offset = 0
+        self._caught_up = False
+        async with self._state_changed:
+            self._state_changed.notify_all()
+
     def _skip_to(self, first_offset):
         """Continue after records that the log's retention has removed unread."""
         self._has_gap = self._next_offset > 0
--- a/dandelionarch/standin/log.py
+++ b/dandelionarch/standin/log.py
@@ -20,6 +20,8 @@
     The next `lost_next` appends and a share `lost_share` of all appends take effect
     without a reply. `one_way` makes either appends or reads fail. With
     `hang_after_lost`, no request is answered after the first lost reply.
+    `lose_records` has the log come back once from a copy that lacks the newest records
+    of each stream; its era rises.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -30,6 +32,7 @@
     lost_share: float = pydantic.Field(default=0.0, ge=0, le=1)
     hang_after_lost: bool = False
     one_way: Literal["none", "appends", "reads"] = "none"
+    lose_records: int = pydantic.Field(default=0, ge=0)
 
 
 class Stream:
@@ -45,6 +48,10 @@
         """Return the offset of the next record."""
         return self.first_offset + len(self.records)
 
+    def drop_newest(self, count):
+        """Drop the newest records, as a log does that comes back from a copy."""
+        del self.records[max(0, len(self.records) - count) :]
+
     def drop_expired(self, max_age_s, max_count):
         """Drop records beyond the retention, except for the newest one."""
         oldest = time.time() - max_age_s if max_age_s else 0.0
@@ -69,11 +76,13 @@
         self._faults = Faults()
         self._rng = random.Random(args.seed)
         self.appends = self.reads = 0
+        self.era = 1
         self._args = args
         self._runner = self._site = self._control_runner = None
         self.app = web.Application(
             client_max_size=MAX_RECORD_BYTES, middlewares=[self._inject_faults]
         )
+        self.app.on_response_prepare.append(self._add_era)
         self.app.router.add_post(RECORDS_PATH, self._append)
         self.app.router.add_get(RECORDS_PATH, self._read)
         self._add_controls(self.app)
@@ -195,9 +204,19 @@
             self._faults = Faults.model_validate_json(await request.read())
         except pydantic.ValidationError as exc:
             return web.Response(status=400, text=str(exc))
+        if self._faults.lose_records:
+            self._restore(self._faults.lose_records)
         await self._update_site()
         return web.json_response(self._faults.model_dump())
 
+    def _restore(self, lost):
+        self.era += 1
+        for stream in self._streams.values():
+            stream.drop_newest(lost)
+
+    async def _add_era(self, request, resp):
+        resp.headers["Log-Era"] = str(self.era)
+
     async def _update_site(self):
         """Close the main port during an outage of kind `refuse`, else open it."""
         if self._control_runner is None:
