--- a/dandelionarch/standin/log.py
+++ b/dandelionarch/standin/log.py
@@ -205,11 +205,12 @@
         except pydantic.ValidationError as exc:
             return web.Response(status=400, text=str(exc))
         if self._faults.lose_records:
-            self._restore(self._faults.lose_records)
+            self.restore(self._faults.lose_records)
         await self._update_site()
         return web.json_response(self._faults.model_dump())
 
-    def _restore(self, lost):
+    def restore(self, lost):
+        """Come back from a copy that lacks the newest records of each stream."""
         self.era += 1
         for stream in self._streams.values():
             stream.drop_newest(lost)
--- a/tests/support/path.py
+++ b/tests/support/path.py
@@ -80,7 +80,8 @@
 
     async def __aenter__(self):
         args = build_parser().parse_args(["log", "--port", str(self._log_port)])
-        await self.serve(LogStandin(args).app, self._log_port)
+        self.log = LogStandin(args)
+        await self.serve(self.log.app, self._log_port)
         return self
 
     async def __aexit__(self, *exc):
