Refuse requests that crash the endpoints that run them

Cause: nothing knew a request by its content. What an ingress learns of one ends with the caller's attempt, and the next attempt enters at another VM. A gate closes on a broken connection and on the end of the endpoint alike. Ruled out: the retries of one attempt, which end after two endpoints, as the route says.

An ingress sends a digest of method, host, path, credentials and body with each request. An agent whose requests have all broken off, and whose endpoint refuses connections then, reports a crash: all requests that ran are suspects. Agents send what they know to those of the same service, which forward what is new to them, and over each link that opens. An answer to a request excuses it everywhere from the crashes so far, and from those of the next 30 s. Three crashes without an excuse are refused by all agents for 10 minutes, doubled with each further crash; the caller is told when to come back. An agent's refusal proves that nothing ran, so no endpoint and no budget is touched.

Ways weighed: loads and notices of the configuration go to those who may choose an endpoint or to a sample of peers, loans to one; the registry goes through the store, which is slow to reach all and costs calls. This uses the links and the two moments of the gates' notices (a change, a link that opens) and adds forwarding, as in a large fleet not all agents of a service are linked. What agents know are sets that only grow, so that they agree whatever the order.

--- a/dandelionarch/core/ingress.py
+++ b/dandelionarch/core/ingress.py
@@ -192,6 +192,9 @@
             self.tried.discard(self._current)
         if reason is Reason.WORKER_REFUSED:
             self._count_reached()
+        if reason is Reason.QUARANTINED:
+            self._release_reservation()
+            return self._refuse_until(reason, retry_after_s)
         if reason is Reason.BUSY and self._unreserve is not None:
             self._waits_s[self._current] = retry_after_s
             if len(self._waits_s) >= self._max_busy_redirects:
@@ -363,9 +366,13 @@
         return Park(reason)
 
     def _refuse(self, reason):
+        return self._refuse_until(reason, self._retry_after(self._min_retry_after_s))
+
+    def _refuse_until(self, reason, retry_after_s):
+        """Return the end of the request; its caller may return after these seconds."""
         self.finished = True
         outcome = Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
-        return Refuse(outcome, reason, self._retry_after(self._min_retry_after_s))
+        return Refuse(outcome, reason, retry_after_s)
 
     def _spread_retry_after(self, min_s):
         spread = self._rng.uniform(0, RETRY_AFTER_SPREAD_S)
--- a/dandelionarch/core/mechanisms.py
+++ b/dandelionarch/core/mechanisms.py
@@ -44,6 +44,8 @@
     PRIORITIES = "priorities"
     # Count fewer slots for an endpoint that has just started.
     WARM_UP = "warm_up"
+    # Refuse requests that have crashed the endpoints that ran them.
+    QUARANTINE = "quarantine"
 
 
 MECHANISM_NAMES = tuple(mechanism.value for mechanism in Mechanism)
--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -21,7 +21,8 @@
     before, `last_resort` that the ingress knows no endpoint with an open gate. If
     `confirms` is set, the agent announces a slot by `SlotReady` and runs the request
     only after `Start`. `rate_per_s` is the limit that the endpoint is known to name on
-    the requests per second, or 0 if there is none.
+    the requests per second, or 0 if there is none. `fingerprint` is the digest of the
+    request's content, or empty if the ingress tells none.
     """
 
     attempt_id: int
@@ -43,6 +44,7 @@
     last_resort: bool = False
     confirms: bool = False
     rate_per_s: float = 0.0
+    fingerprint: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
@@ -187,6 +189,28 @@
     attempt_id: int
 
 
+@dataclass(frozen=True, slots=True)
+class Suspicion:
+    """What an agent knows of a request that ran on endpoints as they crashed.
+
+    `crashes` and `excused` are ids of crashes; an answer to the request has excused it
+    from the latter. `age_ms` is the time since the latest crash.
+    """
+
+    fingerprint: bytes
+    service: str
+    crashes: tuple[bytes, ...]
+    excused: tuple[bytes, ...]
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Suspicions:
+    """Tell an agent of suspects."""
+
+    suspicions: tuple[Suspicion, ...]
+
+
 MESSAGES = (
     RequestHead,
     RequestChunk,
@@ -204,4 +228,5 @@
     Straggling,
     SlotReady,
     Start,
+    Suspicions,
 )
--- a/dandelionarch/core/outcome.py
+++ b/dandelionarch/core/outcome.py
@@ -47,5 +47,6 @@
     ORDER_IN_PROGRESS = "order_in_progress"
     ORDER_LOST = "order_lost"
     ORDER_ANSWER_TOO_LONG = "order_answer_too_long"
+    QUARANTINED = "quarantined"
     KEY_REUSED = "key_reused"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 
+from dandelionarch.core.mechanisms import Mechanism
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.world import EndpointState, same_start
@@ -14,7 +15,9 @@
 from dandelionarch.daemon.agent_run import CHUNK_BYTES, Run
 from dandelionarch.daemon.endpoint_connections import EndpointPool
 from dandelionarch.daemon.endpoint_dialect import DandelionDialect
+from dandelionarch.daemon.endpoint_watch import SERVER_ERROR
 from dandelionarch.daemon.headers import end_to_end
+from dandelionarch.daemon.suspect_requests import SuspectRequests
 from dandelionarch.errors import (
     BrokenAnswerError,
     LinkError,
@@ -32,6 +35,8 @@
 # The slot is idle during this time; a reply over a link takes milliseconds.
 CONFIRM_TIMEOUT_S = 0.5
 
+# The connection to the endpoint broke before an answer began.
+BROKEN_REASONS = frozenset({Reason.WORKER_FAILED, Reason.WORKER_LINK})
 REASON_OF_VERDICT = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
 
 
@@ -66,6 +71,7 @@
         self._local_endpoints = {}
         self._runs = {}
         self._endpoint_pool = EndpointPool(dialect or DandelionDialect())
+        self._suspects = SuspectRequests(network, directory, self._has_older_run)
         self.stopping = False
         self.on_leaving = lambda endpoint_id: None
         network.subscribe(msgs.RequestHead, self._on_head)
@@ -150,6 +156,12 @@
         local.endpoint = endpoint
         return local
 
+    def _has_older_run(self, endpoint_id, time_s):
+        return any(
+            run.head.endpoint_id == endpoint_id and run.sent_at < time_s
+            for run in self._runs.values()
+        )
+
     def _on_head(self, link, head):
         local = self._local_endpoint(head.endpoint_id)
         if local is not None:
@@ -180,6 +192,8 @@
             return Reason.UNKNOWN_ENDPOINT
         if local.endpoint.state not in (EndpointState.READY, EndpointState.STARTING):
             return Reason.DRAINING
+        if self._is_quarantined(head):
+            return Reason.QUARANTINED
         admits = self._watch.admits
         if not admits(local.endpoint, head.idempotent, head.last_resort):
             return Reason.EJECTED
@@ -188,11 +202,18 @@
             return Reason.BUSY
         return None
 
+    def _is_quarantined(self, head):
+        if Mechanism.QUARANTINE in self._off:
+            return False
+        return self._suspects.remaining_s(head) > 0
+
     def _refuse(self, run, local, reason):
         load = local.load() if local else msgs.LoadReport("", 0, 0, 0, "healthy", 1.0)
         now = asyncio.get_running_loop().time()
         wait_s = local.queue.retry_after_s(now) if local else 0.0
         risk_s = self._watch.risk_s(local.endpoint) if reason is Reason.BUSY else 0.0
+        if reason is Reason.QUARANTINED:
+            wait_s = self._suspects.remaining_s(run.head)
         retry_after_ms = int((wait_s + risk_s) * 1000)
         event(
             log,
@@ -281,6 +302,8 @@
         run.link.end_request()
         self._watch.on_run_ended(local.endpoint, run, run.reason, run.head.kind)
         self._runs.pop((run.link, run.head.attempt_id), None)
+        if run.reason in BROKEN_REASONS and not run.call.answered:
+            self._suspects.on_broken(local.endpoint, run.head)
         local.finish(run)
 
     async def _call(self, run, local, deadline):
@@ -348,7 +371,7 @@
         head = run.head
         loop = asyncio.get_running_loop()
         data = head.data if head.last else run.body_chunks()
-        sent_at = loop.time()
+        sent_at = run.sent_at = loop.time()
         budget_ms = max(1, int((deadline - sent_at) * 1000))
         answer = await self._endpoint_pool.open(
             run.call, local.endpoint, head, data, budget_ms
@@ -379,6 +402,8 @@
         attempt_id = run.head.attempt_id
         first, last = await answer.read(CHUNK_BYTES)
         self._watch.on_run_answered(local.endpoint, run, answer.status)
+        if answer.status < SERVER_ERROR:
+            self._suspects.on_answered(run.head)
         headers = end_to_end(answer.headers.items())
         await run.send_part(
             msgs.ResponseHead(
--- a/dandelionarch/daemon/agent_run.py
+++ b/dandelionarch/daemon/agent_run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import math
 
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
@@ -27,6 +28,8 @@
         Set when the attempt has got a slot.
     confirmed : asyncio.Event
         Set when the ingress has confirmed that the attempt may start.
+    sent_at : float
+        Loop time, in seconds, at which the call of the endpoint began; inf before.
     answer_sent : bool
         True once the whole answer has been sent to the ingress.
     reason : Reason or None
@@ -43,6 +46,7 @@
         self.window_open = asyncio.Event()
         self.started = asyncio.Event()
         self.confirmed = asyncio.Event()
+        self.sent_at = math.inf
         self.answer_sent = False
         self.reason = Reason.CANCELLED
         self.call = Call()
--- a/dandelionarch/daemon/attempt.py
+++ b/dandelionarch/daemon/attempt.py
@@ -73,7 +73,8 @@
 class CallerRequest:
     """A caller's request.
 
-    `body` is the whole body if `remainder` is None, otherwise its start.
+    `body` is the whole body if `remainder` is None, otherwise its start. `fingerprint`
+    is the digest of the content, of a long body that of its start.
     """
 
     method: str
@@ -81,6 +82,7 @@
     headers: tuple
     body: bytes
     remainder: BodyRemainder | None = None
+    fingerprint: bytes = b""
 
     def replayable(self):
         """Return True if the request can be sent again."""
--- a/dandelionarch/daemon/attempts.py
+++ b/dandelionarch/daemon/attempts.py
@@ -8,12 +8,15 @@
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
 from dandelionarch.daemon.attempt import AttemptStream, LinkLost, is_inline
-from dandelionarch.daemon.replies import REPLIES
+from dandelionarch.daemon.replies import REPLIES, reason_of
 from dandelionarch.errors import LinkError
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
 
+# Refusals that don't keep the endpoint from taking other requests.
+BLAMELESS_REASONS = frozenset({Reason.BUSY, Reason.QUARANTINED})
+
 
 class Attempts:
     """Sends attempts to agents and passes each reply to its attempt.
@@ -74,6 +77,7 @@
                 command.decision.last_resort,
                 not stream.may_run,
                 self._views.rate_per_s(stream.endpoint_id),
+                req.fingerprint,
             )
         )
         if not inline:
@@ -107,7 +111,7 @@
         load = getattr(msg, "load", None)
         if load is not None and load.endpoint_id:
             self._views.on_load_report(load)
-        if isinstance(msg, msgs.Refusal) and msg.reason != Reason.BUSY.value:
+        if isinstance(msg, msgs.Refusal) and reason_of(msg) not in BLAMELESS_REASONS:
             self._views.on_refused(stream.endpoint_id)
         elif isinstance(msg, msgs.ResponseHead):
             self._views.on_accepted(stream.endpoint_id)
--- a/dandelionarch/daemon/caller_body.py
+++ b/dandelionarch/daemon/caller_body.py
@@ -5,6 +5,7 @@
 
 from sanic.exceptions import SanicException
 
+from dandelionarch.core.quarantine import request_fingerprint
 from dandelionarch.daemon.attempt import (
     REPLAY_LIMIT_BYTES,
     BodyRemainder,
@@ -48,8 +49,16 @@
     target = request.path
     if request.query_string:
         target = f"{target}?{request.query_string}"
+    body = b"".join(parts)
+    fingerprint = request_fingerprint(
+        request.method,
+        callers.host(request),
+        target,
+        request.headers.get("authorization", ""),
+        body,
+    )
     headers = callers.forwarded_fields(request)
-    return CallerRequest(request.method, target, headers, b"".join(parts), remainder)
+    return CallerRequest(request.method, target, headers, body, remainder, fingerprint)
 
 
 async def discard_body(request):
--- a/dandelionarch/daemon/replies.py
+++ b/dandelionarch/daemon/replies.py
@@ -23,6 +23,11 @@
     return isinstance(msg, msgs.Failure | LinkLost)
 
 
+def is_quarantined(msg):
+    """Return True if no agent would run the request."""
+    return isinstance(msg, msgs.Refusal) and reason_of(msg) is Reason.QUARANTINED
+
+
 def reason_of(msg):
     """Return the `Reason` of a message; `OTHER` if only a newer daemon knows it."""
     try:
--- a/dandelionarch/daemon/second_attempts.py
+++ b/dandelionarch/daemon/second_attempts.py
@@ -6,7 +6,7 @@
 
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.daemon.endpoint_watch import SERVER_ERROR
-from dandelionarch.daemon.replies import draws_on_budget
+from dandelionarch.daemon.replies import draws_on_budget, is_quarantined
 from dandelionarch.errors import LinkError
 from dandelionarch.logs import event
 
@@ -109,7 +109,7 @@
                 self._attempts.close(replied, cancel=is_streaming)
                 if not isinstance(msg, msgs.Refusal) or draws_on_budget(msg):
                     lifecycle.on_attempt_discarded()
-                elif replied is not first:
+                elif replied is not first and not is_quarantined(msg):
                     another = await self._replace_refused(lifecycle, req)
                     if another is not None:
                         pending[asyncio.ensure_future(another.next_reply())] = another
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -35,6 +35,7 @@
   lastResort @16 :Bool;
   confirms @17 :Bool;
   ratePerS @18 :Float32;
+  fingerprint @19 :Data;
 }
 
 struct RequestChunk {
@@ -113,6 +114,18 @@
   attemptId @0 :UInt64;
 }
 
+struct Suspicion {
+  fingerprint @0 :Data;
+  service @1 :Text;
+  crashes @2 :List(Data);
+  excused @3 :List(Data);
+  ageMs @4 :UInt64;
+}
+
+struct Suspicions {
+  suspicions @0 :List(Suspicion);
+}
+
 struct Envelope {
   union {
     requestHead @0 :RequestHead;
@@ -131,5 +144,6 @@
     straggling @13 :Straggling;
     slotReady @14 :SlotReady;
     start @15 :Start;
+    suspicions @16 :Suspicions;
   }
 }
--- a/tests/support/platform/worker.py
+++ b/tests/support/platform/worker.py
@@ -54,7 +54,8 @@
     """Passes each request to `handle(req, writer)`, which sends an answer by default.
 
     Requests for another instance are answered with status 421 and counted in
-    `misdirected`. `received` lists the requests passed to `handle`.
+    `misdirected`. `received` lists the requests passed to `handle`, and `crashes`
+    counts the calls of `crash`.
     """
 
     def __init__(self, instance, handle=None):
@@ -67,21 +68,31 @@
         self.health_status = 200
         self._handle = handle or self._answer
         self._server = None
+        self.crashes = 0
+        self._writers = set()
 
     async def start(self):
-        """Listen on a free port of the loopback address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port of the loopback address, or again on the same one."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self):
         """Stop listening."""
         self._server.close()
 
+    def crash(self):
+        """End all connections and stop listening."""
+        self.crashes += 1
+        self.stop()
+        for writer in self._writers:
+            reset_connection(writer)
+
     @staticmethod
     async def _answer(req, writer):
         writer.write(answer(req))
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while not writer.is_closing():
                 req = await self._read(reader)
@@ -94,6 +105,7 @@
                     continue
                 self.received.append(req)
                 await self._handle(req, writer)
+        self._writers.discard(writer)
         writer.close()
 
     def _health(self):
--- a/tests/test_agent_cancel.py
+++ b/tests/test_agent_cancel.py
@@ -20,6 +20,7 @@
     def __init__(self):
         self.handlers, self.sent, self.open = {}, [], 0
         self.subscribe_link_lost = lambda callback: None
+        self.subscribe_link_opened = lambda callback: None
 
     def now(self):
         return asyncio.get_running_loop().time()
--- a/tests/test_hedging.py
+++ b/tests/test_hedging.py
@@ -61,6 +61,7 @@
     """A request without a body."""
 
     method, target, headers, body, remainder = "GET", "/", (), b"", None
+    fingerprint = b""
 
     @staticmethod
     def replayable():
