Take no order late in a planned stop that may outlast it

Cause: a request was taken if the 95th percentile of its route's answers fitted into the time that is left; one in twenty takes longer. A stop ends at a fixed time, so this needs a bound. Once callers have had time to move, work that is not idempotent is taken only if its budget ends in time; idempotent work may take its budget, or as long as the longest recent answer.

--- a/dandelionarch/core/hedging.py
+++ b/dandelionarch/core/hedging.py
@@ -14,6 +14,8 @@
 MIN_SAMPLES = 4
 WINDOW_SAMPLES = 63
 LIKELY_SHARE = 0.95
+# The next time exceeds the longest of these in one case of twenty or fewer.
+MIN_SAMPLES_OF_LONGEST = 20
 
 
 class HedgeDelays:
@@ -54,3 +56,10 @@
         if times is None or len(times.sorted) < MIN_SAMPLES:
             return objective_s
         return times.sorted[int(LIKELY_SHARE * len(times.sorted))]
+
+    def longest_s(self, service, route):
+        """Return the longest of the recent times, inf while too few are known."""
+        times = self._recent.get((service, route))
+        if times is None or len(times.sorted) < MIN_SAMPLES_OF_LONGEST:
+            return math.inf
+        return times.sorted[-1]
--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -209,6 +209,10 @@
         """Return the time in seconds within which most such requests are answered."""
         return self._hedging.likely_s(work.service, work.route, work.objective_s)
 
+    def longest_time_s(self, work):
+        """Return the longest time in seconds of recent answers, inf if unknown."""
+        return self._hedging.longest_s(work.service, work.route)
+
     def retry_after_s(self, min_s=0.0):
         """Return the `Retry-After` of a refusal given now, in seconds."""
         now = asyncio.get_running_loop().time()
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -68,6 +68,9 @@
     time_left_s : callable
         Returns the seconds until a planned stop ends the requests in flight. A request
         that most likely takes longer is refused, as it would be aborted.
+    callers_have_left : bool
+        True in the part of a planned stop in which callers have had time to move to
+        other VMs. A request that may take longer than the time left is then refused.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         self.in_flight = 0
         self.stopping = False
         self.time_left_s = lambda: math.inf
+        self.callers_have_left = False
         self.app = IngressApp(
             f"ingress-{uuid.uuid4().hex[:8]}", configure_logging=False
         )
@@ -206,7 +210,7 @@
         except BadRequestError as exc:
             return self._bad_request(request_id, 400, exc)
         work = self._make_work(request_id, customer, route)
-        if self._ingress.likely_time_s(work) > self.time_left_s():
+        if self._may_outlast_stop(work, budget_s):
             outcome = self._unchecked_outcome(request, route.idempotent)
             retry_s = self._ingress.retry_after_s()
             return self._refusal(
@@ -224,6 +228,17 @@
         finally:
             self._customer_limits.finish(key)
 
+    def _may_outlast_stop(self, work, budget_s):
+        """Return True if a planned stop would, or may, abort a request."""
+        needed_s = self._ingress.likely_time_s(work)
+        if self.callers_have_left:
+            # A straggler may take up its whole budget. A call of this VM's endpoint,
+            # which is idempotent, is not refused for that, as its caller would fail.
+            longest_s = self._ingress.longest_time_s(work)
+            straggler_s = min(budget_s, longest_s) if work.idempotent else budget_s
+            needed_s = max(needed_s, straggler_s)
+        return needed_s > self.time_left_s()
+
     def _route_of(self, request):
         """Return the route of a request, after a check of its header fields.
 
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -315,6 +315,7 @@
         self.network.broadcast(msgs.Leaving(self.vm_id))
         leave = asyncio.create_task(self.registry.leave(self._stop_timeout_s))
         await asyncio.sleep(self.settings.stop.drain_s)
+        self.http.callers_have_left = True
         while self.agent.in_flight and has_time():
             await asyncio.sleep(STOP_POLL_PERIOD_S)
         self.http.refuse_new_work()
