Keep verdicts on deadly requests in the registry

Cause: verdicts were only in the memory of daemons, which get them from those that run. Where none does, nothing was left. Weighed: a topic of its own would need a call of each daemon at its start, and somebody who deletes what has ended.

The detection of crashes and the records have modules of their own. Verdicts are logged when a request is refused or excused, no longer with each crash beside a request.

test_verdict_outlives_all_daemons fails without the records.

--- a/dandelionarch/core/messages/registry.py
+++ b/dandelionarch/core/messages/registry.py
@@ -5,11 +5,26 @@
 from dandelionarch.core.messages.endpoints import EndpointRecord
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineRecord:
+    """A request in quarantine, kept for daemons that start later.
+
+    `crashes` are the ids of the crashes that count, the latest of which happened at
+    `crashed_at_ms`, in Unix time.
+    """
+
+    fingerprint: bytes
+    service: str
+    crashes: tuple[bytes, ...]
+    crashed_at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class VmEntry:
     """Announcement of a daemon and the endpoints on its VM.
 
     `incarnation` identifies the process, `edition` counts its changes to the entry.
+    `quarantined` are requests that have crashed endpoints of this VM.
     """
 
     vm_id: str
@@ -21,6 +36,7 @@
     edition: int
     state: str
     endpoints: tuple[EndpointRecord, ...]
+    quarantined: tuple[QuarantineRecord, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/core/quarantine.py
+++ b/dandelionarch/core/quarantine.py
@@ -118,10 +118,12 @@
         suspect = self._suspects.get(fingerprint)
         return 0.0 if suspect is None else max(0.0, suspect.ends_at - now)
 
-    def crash_count(self, fingerprint):
-        """Return the number of crashes that count against a request."""
+    def crashes_of(self, fingerprint):
+        """Return the ids of the crashes that count against a request, in order."""
         suspect = self._suspects.get(fingerprint)
-        return 0 if suspect is None else suspect.crash_count
+        if suspect is None:
+            return ()
+        return tuple(sorted(suspect.crashes - suspect.excused))
 
     def on_crash(self, crash_id, service, fingerprints, now):
         """Handle a crash of an endpoint of this VM that ran these requests.
@@ -175,6 +177,10 @@
             return []
         return [self._suspicion(fingerprint, now)]
 
+    def crashed_at(self, fingerprint):
+        """Return the time of the latest crash of a suspect in seconds."""
+        return self._suspects[fingerprint].crashed_at
+
     def suspicions(self, now):
         """Return what a peer that knows nothing has to know."""
         return [
--- a/dandelionarch/core/registry.py
+++ b/dandelionarch/core/registry.py
@@ -35,8 +35,13 @@
         self._own_version_written = (0, 0)
         self._own_position = None
 
-    def new_entry(self):
-        """Return a new edition of this daemon's entry."""
+    def new_entry(self, quarantined=()):
+        """Return a new edition of this daemon's entry.
+
+        Parameters
+        ----------
+        quarantined : tuple of QuarantineRecord, optional
+        """
         self._edition += 1
         endpoints = self._directory.endpoints_of_vm(self.vm.vm_id)
         entry = VmEntry(
@@ -49,6 +54,7 @@
             self._edition,
             self.vm.state.value,
             tuple(map(_endpoint_entry, endpoints)),
+            quarantined,
         )
         self._entries[self.vm.vm_id] = entry
         return entry
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -13,6 +13,7 @@
 from dandelionarch.core.world import EndpointState, same_start
 from dandelionarch.daemon.agent_endpoint import LocalEndpoint
 from dandelionarch.daemon.agent_run import CHUNK_BYTES, Run
+from dandelionarch.daemon.crash_detector import CrashDetector
 from dandelionarch.daemon.endpoint_connections import EndpointPool
 from dandelionarch.daemon.endpoint_dialect import DandelionDialect
 from dandelionarch.daemon.endpoint_watch import SERVER_ERROR
@@ -56,6 +57,7 @@
 
     Attributes
     ----------
+    suspects : SuspectRequests
     on_leaving : callable
         `on_leaving(endpoint_id)` is called when an endpoint's answer says that it
         takes no new work.
@@ -71,7 +73,10 @@
         self._local_endpoints = {}
         self._runs = {}
         self._endpoint_pool = EndpointPool(dialect or DandelionDialect())
-        self._suspects = SuspectRequests(network, directory, self._has_older_run)
+        self.suspects = SuspectRequests(network, directory)
+        self._crash_detector = CrashDetector(
+            network, self._has_older_run, self.suspects.on_crash
+        )
         self.stopping = False
         self.on_leaving = lambda endpoint_id: None
         network.subscribe(msgs.RequestHead, self._on_head)
@@ -205,7 +210,7 @@
     def _is_quarantined(self, head):
         if Mechanism.QUARANTINE in self._off:
             return False
-        return self._suspects.remaining_s(head) > 0
+        return self.suspects.remaining_s(head.fingerprint) > 0
 
     def _refuse(self, run, local, reason):
         load = local.load() if local else msgs.LoadReport("", 0, 0, 0, "healthy", 1.0)
@@ -213,7 +218,7 @@
         wait_s = local.queue.retry_after_s(now) if local else 0.0
         risk_s = self._watch.risk_s(local.endpoint) if reason is Reason.BUSY else 0.0
         if reason is Reason.QUARANTINED:
-            wait_s = self._suspects.remaining_s(run.head)
+            wait_s = self.suspects.remaining_s(run.head.fingerprint)
         retry_after_ms = int((wait_s + risk_s) * 1000)
         event(
             log,
@@ -303,7 +308,7 @@
         self._watch.on_run_ended(local.endpoint, run, run.reason, run.head.kind)
         self._runs.pop((run.link, run.head.attempt_id), None)
         if run.reason in BROKEN_REASONS and not run.call.answered:
-            self._suspects.on_broken(local.endpoint, run.head)
+            self._crash_detector.on_broken(local.endpoint, run.head.fingerprint)
         local.finish(run)
 
     async def _call(self, run, local, deadline):
@@ -403,7 +408,7 @@
         first, last = await answer.read(CHUNK_BYTES)
         self._watch.on_run_answered(local.endpoint, run, answer.status)
         if answer.status < SERVER_ERROR:
-            self._suspects.on_answered(run.head)
+            self.suspects.on_answered(run.head.fingerprint)
         headers = end_to_end(answer.headers.items())
         await run.send_part(
             msgs.ResponseHead(
--- a/dandelionarch/daemon/registry.py
+++ b/dandelionarch/daemon/registry.py
@@ -45,6 +45,14 @@
     rng : random.Random, optional
     on_restored : callable, optional
         Called when the store has come back from an older copy.
+
+    Attributes
+    ----------
+    quarantined : callable
+        Returns the `QuarantineRecord` tuple for this VM's entry.
+    on_quarantined : callable
+        `on_quarantined(vm_id, records)` is called with the records in an entry of the
+        store or of a peer; this VM's own are those of an earlier process.
     """
 
     def __init__(
@@ -60,6 +68,8 @@
         self._entry_changed = asyncio.Event()
         self._entry_written = asyncio.Event()
         self._reads_after_write = True
+        self.quarantined = tuple
+        self.on_quarantined = lambda vm_id, records: None
         self.follower = Follower(
             topic,
             self._on_batch,
@@ -72,8 +82,8 @@
         network.subscribe_link_opened(self._send_entry)
 
     def announce(self):
-        """Publish a new edition of the entry after a change of the VM or endpoints."""
-        self._entry = self._registry.new_entry()
+        """Publish a new edition of the entry after a change of its content."""
+        self._entry = self._new_entry()
         self._network.broadcast(self._entry)
         self._entry_written.clear()
         self._entry_changed.set()
@@ -88,9 +98,12 @@
 
     def _current_entry(self):
         if self._entry is None:
-            self._entry = self._registry.new_entry()
+            self._entry = self._new_entry()
         return self._entry
 
+    def _new_entry(self):
+        return self._registry.new_entry(self.quarantined())
+
     def entries(self):
         """Return the known entries of all VMs."""
         return self._registry.entries()
@@ -103,6 +116,12 @@
             self._registry.apply(entry)
         except ValueError as exc:
             _log_unreadable(entry.vm_id, exc)
+        else:
+            self._pass_on_quarantined(entry)
+
+    def _pass_on_quarantined(self, entry):
+        if entry.quarantined:
+            self.on_quarantined(entry.vm_id, entry.quarantined)
 
     async def leave(self, timeout_s):
         """Write an entry in state leaving; give up after `timeout_s`."""
@@ -170,6 +189,7 @@
             except (MessageDecodeError, ValueError) as exc:
                 _log_unreadable(record.key, exc)
                 continue
+            self._pass_on_quarantined(entry)
             if entry.vm_id == self._registry.vm.vm_id:
                 own_entry = entry
             if must_rewrite:
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -203,6 +203,9 @@
             self._rng,
             self._on_store_restored,
         )
+        self.registry.quarantined = self.agent.suspects.records.records
+        self.registry.on_quarantined = self.agent.suspects.on_records
+        self.agent.suspects.records.on_change = self.registry.announce
         self.endpoints = LocalEndpoints(
             self.directory,
             self.vm_id,
--- a/dandelionarch/daemon/suspect_requests.py
+++ b/dandelionarch/daemon/suspect_requests.py
@@ -1,82 +1,57 @@
 """Requests that are suspected of crashing endpoints, shared among the agents."""
 
-import asyncio
 import contextlib
 import logging
 import uuid
 
 from dandelionarch.core.messages import request as msgs
-from dandelionarch.core.quarantine import Quarantine
-from dandelionarch.core.world import EndpointState
+from dandelionarch.core.quarantine import CRASHES_TO_QUARANTINE, Quarantine
+from dandelionarch.daemon.quarantine_records import QuarantineRecords
 from dandelionarch.errors import LinkError
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
 
-# All connections to an endpoint that ends break at the same moment.
-SETTLE_S = 0.01
-PROBE_TIMEOUT_S = 1.0
 CRASH_ID_BYTES = 8
 
 
 class SuspectRequests:
-    """Finds out which requests run on endpoints that crash, and tells other agents.
+    """Refuses requests that have crashed endpoints, and tells other agents of them.
 
-    A request may break off for many reasons. An endpoint has crashed if all its earlier
-    requests have broken off and it refuses connections. Crashes and excuses are sent to
-    the agents of the same service, which forward what is news to them, and over each
-    link that opens.
+    Crashes and excuses are sent to the agents of the same service, which forward what
+    is news to them, and over each link that opens.
 
     Parameters
     ----------
     network : PeerNetwork
     directory : Directory
-    has_older_run : callable
-        `has_older_run(endpoint_id, time)` returns True if the endpoint still runs a
-        request that it got before a time in seconds.
+
+    Attributes
+    ----------
+    records : QuarantineRecords
+        Those of the requests in quarantine that this VM's registry entry keeps.
     """
 
-    def __init__(self, network, directory, has_older_run):
+    def __init__(self, network, directory):
         self._network = network
         self._directory = directory
-        self._has_older_run = has_older_run
         self._quarantine = Quarantine()
-        self._broken = {}
+        self.records = QuarantineRecords(network.vm_id, self._quarantine, network.now)
         network.subscribe(msgs.Suspicions, self._on_suspicions)
         network.subscribe_link_opened(self._send_all)
 
-    def remaining_s(self, head):
+    def remaining_s(self, fingerprint):
         """Return the seconds for which a request is refused, 0 if it is admitted."""
-        if not head.fingerprint:
-            return 0.0
-        return self._quarantine.remaining_s(head.fingerprint, self._network.now())
+        return self._quarantine.remaining_s(fingerprint, self._network.now())
 
-    def on_answered(self, head):
+    def on_answered(self, fingerprint):
         """Handle an answer to a request that is not an error of the endpoint."""
-        if head.fingerprint:
-            news = self._quarantine.on_answered(head.fingerprint, self._network.now())
-            self._spread(news)
-
-    def on_broken(self, endpoint, head):
-        """Handle a request whose connection broke before an answer began."""
-        if endpoint.state not in (EndpointState.READY, EndpointState.STARTING):
-            # Requests may break off at a planned end.
-            return
-        broken = self._broken.get(endpoint.endpoint_id)
-        if broken is None:
-            broken = self._broken[endpoint.endpoint_id] = set()
-            self._network.spawn(self._check(endpoint, self._network.now()))
-        if head.fingerprint:
-            broken.add(head.fingerprint)
-
-    async def _check(self, endpoint, broken_at):
-        """Report a crash if the endpoint has ended."""
-        await asyncio.sleep(SETTLE_S)
-        fingerprints = self._broken.pop(endpoint.endpoint_id)
-        if self._has_older_run(endpoint.endpoint_id, broken_at):
-            return
-        if not fingerprints or not await refuses_connections(endpoint):
-            return
+        if fingerprint:
+            news = self._quarantine.on_answered(fingerprint, self._network.now())
+            self._on_news(news)
+
+    def on_crash(self, endpoint, fingerprints):
+        """Handle the crash of an endpoint of this VM that ran these requests."""
         event(
             log,
             "endpoint_crashed",
@@ -85,15 +60,19 @@
             requests=",".join(sorted(f.hex() for f in fingerprints)),
         )
         crash_id = uuid.uuid4().bytes[:CRASH_ID_BYTES]
-        now = self._network.now()
-        self._spread(
-            self._quarantine.on_crash(crash_id, endpoint.service, fingerprints, now)
-        )
+        service, now = endpoint.service, self._network.now()
+        self.records.add_suspects(service, fingerprints)
+        self._on_news(self._quarantine.on_crash(crash_id, service, fingerprints, now))
+
+    def on_records(self, vm_id, records):
+        """Handle the quarantines in a VM's registry entry."""
+        self._log_verdicts(self.records.merge(vm_id, records))
+        self.records.publish_changes()
 
     def _on_suspicions(self, link, msg):
-        now = self._network.now()
         for suspicion in msg.suspicions:
-            self._spread(self._quarantine.merge(suspicion, now), link)
+            news = self._quarantine.merge(suspicion, self._network.now())
+            self._on_news(news, link)
 
     def _send_all(self, link):
         suspicions = self._quarantine.suspicions(self._network.now())
@@ -101,42 +80,36 @@
             with contextlib.suppress(LinkError):
                 link.send(msgs.Suspicions(tuple(suspicions)))
 
-    def _spread(self, news, source=None):
-        """Log news, and send it to the agents of its service that have a link."""
+    def _on_news(self, news, source=None):
+        """Send news to the agents of its service; `source` is the link it came over."""
+        if not news:
+            return
+        self._log_verdicts(news)
+        links = {link.vm_id: link for link in self._network.all_links()}
+        if source is not None:
+            links.pop(source.vm_id, None)
         for suspicion in news:
-            self._log_suspicion(suspicion)
             vms = {e.vm_id for e in self._directory.endpoints_of(suspicion.service)}
             if source is not None and self._network.vm_id not in vms:
                 continue
-            links = {link.vm_id: link for link in self._network.all_links()}
             for vm_id in vms & links.keys():
-                if source is None or vm_id != source.vm_id:
-                    with contextlib.suppress(LinkError):
-                        links[vm_id].send(msgs.Suspicions((suspicion,)))
+                with contextlib.suppress(LinkError):
+                    links[vm_id].send(msgs.Suspicions((suspicion,)))
+        self.records.publish_changes()
 
-    def _log_suspicion(self, suspicion):
-        remaining_s = self._quarantine.remaining_s(
-            suspicion.fingerprint, self._network.now()
-        )
-        event(
-            log,
-            "request_suspected",
-            logging.WARNING if remaining_s else logging.INFO,
-            fingerprint=suspicion.fingerprint.hex(),
-            service=suspicion.service,
-            crashes=self._quarantine.crash_count(suspicion.fingerprint),
-            quarantine_s=round(remaining_s, 1),
-        )
-
-
-async def refuses_connections(endpoint):
-    """Return True if nothing listens at an endpoint's address."""
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(endpoint.host, endpoint.port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        return False
-    writer.close()
-    return False
+    def _log_verdicts(self, news):
+        """Log the verdicts on requests that were present at several crashes."""
+        for suspicion in news:
+            if len(suspicion.crashes) < CRASHES_TO_QUARANTINE:
+                continue
+            remaining_s = self.remaining_s(suspicion.fingerprint)
+            event(
+                log,
+                "request_quarantined" if remaining_s else "request_excused",
+                logging.WARNING,
+                fingerprint=suspicion.fingerprint.hex(),
+                service=suspicion.service,
+                crashes=len(suspicion.crashes),
+                excused=len(suspicion.excused),
+                remaining_s=round(remaining_s, 1),
+            )
--- a/dandelionarch/wire/registry.capnp
+++ b/dandelionarch/wire/registry.capnp
@@ -2,6 +2,13 @@
 
 using Members = import "members.capnp";
 
+struct QuarantineRecord {
+  fingerprint @0 :Data;
+  service @1 :Text;
+  crashes @2 :List(Data);
+  crashedAtMs @3 :UInt64;
+}
+
 struct VmEntry {
   vmId @0 :Text;
   dataCentre @1 :Text;
@@ -12,6 +19,7 @@
   edition @6 :UInt64;
   state @7 :Text;
   endpoints @8 :List(Members.EndpointRecord);
+  quarantined @9 :List(QuarantineRecord);
 }
 
 struct StateQuery {
--- a/tests/support/platform/store.py
+++ b/tests/support/platform/store.py
@@ -84,6 +84,10 @@
         """Return the keys that a topic has records of."""
         return {key for key, _, _ in self._newest_of(self.topic(name))}
 
+    def values(self, name):
+        """Return the newest value of each key of a topic."""
+        return [value for _, _, value in self._newest_of(self.topic(name))]
+
     async def put(self, name, key, value):
         """Append a keyed record on behalf of another writer."""
         raw = bytes([len(key)]) + key.encode() + value
--- a/tests/test_deadly_requests.py
+++ b/tests/test_deadly_requests.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from dandelionarch.core.quarantine import CRASHES_TO_QUARANTINE, QUARANTINE_S
+from dandelionarch.platform.main import REGISTRY_TOPIC
+from dandelionarch.wire.codec import Channel, Codec
 from tests.support.path import until
 from tests.support.platform.fleet import ask, platform_test
 from tests.support.platform.worker import answer, reset_connection
@@ -77,6 +79,40 @@
             assert status == 503
         assert self.crashes(fleet) == crashes
 
+    @platform_test
+    async def test_verdict_outlives_all_daemons(self, fleet, session):
+        """Guards against a request that crashes endpoints again after each restart.
+
+        On kintaat-fi with all daemons killed twice, the same request crashed three to
+        five workers after each time.
+        """
+        vms = ["vm-a", "vm-b", "vm-c"]
+        await self.start(fleet, session, vms)
+        await self.send_until_refused(fleet, session, vms)
+        await until(lambda: self.kept(fleet), "verdict in the store")
+        crashes = self.crashes(fleet)
+        for daemon in list(fleet.daemons.values()):
+            await daemon.stop()
+        fleet.daemons.clear()
+        for vm in vms:
+            await fleet.daemon(vm)
+        for vm in vms:
+            worker = fleet.workers[f"i-{vm}"]
+            assert await fleet.report(session, vm, worker) == 200
+        await fleet.wait_for_links()
+        for number in range(6):
+            vm = vms[number % 3]
+            status, _, body = await ask(session, fleet, vm, DEADLY, f"new-{number}")
+            assert status == 503
+            assert b"quarantined" in body
+        assert self.crashes(fleet) == crashes
+
+    def kept(self, fleet):
+        """Return the quarantines in the registry entries in the store."""
+        codec, values = Codec((Channel.REGISTRY,)), fleet.store.values(REGISTRY_TOPIC)
+        entries = [codec.decode(Channel.REGISTRY, value) for value in values]
+        return [record for entry in entries for record in entry.quarantined]
+
     @platform_test
     async def test_requests_beside_it_are_served(self, fleet, session):
         """Guards against refusing the requests that ran as the workers crashed."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -172,5 +172,5 @@
             receiver = Quarantine()
             for suspicion in data.draw(st.permutations(sent)):
                 receiver.merge(suspicion, 100.0 * len(steps))
-            verdicts.append(receiver.crash_count(DEADLY))
+            verdicts.append(receiver.crashes_of(DEADLY))
         assert verdicts[0] == verdicts[1]
