--- a/dandelionarch/core/quarantine.py
+++ b/dandelionarch/core/quarantine.py
@@ -42,15 +42,12 @@
         `credentials` is the value of the field `Authorization`, or empty.
     body : bytes
     """
-    mac = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    parts = [
-        text.encode("utf-8", "surrogateescape")
-        for text in (method, host, target, credentials)
-    ]
-    for part in (*parts, body):
-        # Without the length, ("a", "bc") and ("ab", "c") would have one digest.
-        mac.update(len(part).to_bytes(8, "big"))
-        mac.update(part)
+    # No field of a request holds a line feed.
+    fields = "\n".join((method, host, target, credentials, ""))
+    mac = hashlib.blake2b(
+        fields.encode("utf-8", "surrogateescape"), digest_size=DIGEST_BYTES
+    )
+    mac.update(body)
     return mac.digest()
 
 
