Refuse a deadly request also if it was waiting when the verdict came

An agent looked for a verdict only as a request arrived, so that repeats that waited for a slot crashed one more endpoint each. Found by reading. The verdict is looked up again when a request gets its slot. test_verdict_on_a_request_that_waits failed before: the request was run.

--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -281,10 +281,13 @@
         try:
             async with asyncio.timeout_at(deadline):
                 await run.started.wait()
-            if not head.confirms or await self._request_start(run):
-                await self._call(run, local, deadline)
-            else:
+            if head.confirms and not await self._request_start(run):
                 self._refuse(run, local, Reason.LINK_DOWN)
+            elif self._is_quarantined(head):
+                # The verdict came while the request waited.
+                self._refuse(run, local, Reason.QUARANTINED)
+            else:
+                await self._call(run, local, deadline)
         except TimeoutError:
             self._refuse(run, local, Reason.TOO_LATE)
         except asyncio.CancelledError:
--- a/tests/test_agent_cancel.py
+++ b/tests/test_agent_cancel.py
@@ -5,6 +5,7 @@
 from dandelionarch.core.directory import Directory
 from dandelionarch.core.endpoint_reports import EndpointReport
 from dandelionarch.core.messages import request as msgs
+from dandelionarch.core.quarantine import CRASHES_TO_QUARANTINE, QUARANTINE_S
 from dandelionarch.core.world import Endpoint, EndpointState
 from dandelionarch.daemon.agent import CONFIRM_TIMEOUT_S, Agent
 from dandelionarch.daemon.endpoint_watch import GateWatch
@@ -21,6 +22,7 @@
         self.handlers, self.sent, self.open = {}, [], 0
         self.subscribe_link_lost = lambda callback: None
         self.subscribe_link_opened = lambda callback: None
+        self.all_links = list
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -143,6 +145,31 @@
         return EndpointReport("w", "s", "127.0.0.1", 9, 1, 1, sequence, state)
 
 
+class TestQuarantine:
+    """A request that waits is refused if it turns out to crash endpoints."""
+
+    def test_verdict_on_a_request_that_waits(self):
+        """Guards against one more crash by each repeat that was waiting already."""
+        asyncio.run(self._convict())
+
+    async def _convict(self):
+        network, directory = FakeNetwork(), Directory()
+        directory.put_endpoint(Endpoint("w", "vm", "s", "127.0.0.1", 9, 1, 9, 1))
+        agent = Agent(network, directory, "vm", HealthWatch(network, directory, "vm"))
+        await agent.start()
+        network.receive(head(1, 0))
+        network.receive(head(2, 0, fingerprint=b"deadly"))
+        crashes = tuple(b"%d" % n for n in range(CRASHES_TO_QUARANTINE))
+        suspicion = msgs.Suspicion(b"deadly", "s", crashes, (), 0)
+        network.receive(msgs.Suspicions((suspicion,)))
+        network.receive(msgs.Cancel(1))
+        await asyncio.sleep(0.05)
+        refused = [msg for msg in network.sent if isinstance(msg, msgs.Refusal)]
+        assert [(m.attempt_id, m.reason) for m in refused] == [(2, "quarantined")]
+        assert refused[0].retry_after_ms > 1000 * QUARANTINE_S / 2
+        await agent.stop()
+
+
 class TestConfirmedStart:
     """An order runs only after its ingress has confirmed the start.
 
