Split the call of an endpoint from the agent

EndpointExchange calls an endpoint and relays its answer; the agent admits, queues and ends runs. No behaviour changes.

--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -5,26 +5,18 @@
 import functools
 import logging
 
-import aiohttp
-
 from dandelionarch.core.mechanisms import Mechanism
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.core.outcome import Reason
 from dandelionarch.core.world import EndpointState, same_start
 from dandelionarch.daemon.agent_endpoint import LocalEndpoint
-from dandelionarch.daemon.agent_run import CHUNK_BYTES, Run
+from dandelionarch.daemon.agent_run import Run
 from dandelionarch.daemon.crash_detector import CrashDetector
 from dandelionarch.daemon.endpoint_connections import EndpointPool
 from dandelionarch.daemon.endpoint_dialect import DandelionDialect
-from dandelionarch.daemon.endpoint_watch import SERVER_ERROR
-from dandelionarch.daemon.headers import end_to_end
+from dandelionarch.daemon.endpoint_exchange import EndpointExchange
 from dandelionarch.daemon.suspect_requests import SuspectRequests
-from dandelionarch.errors import (
-    BrokenAnswerError,
-    LinkError,
-    WorkerConnectionLostError,
-    WorkerUnreachableError,
-)
+from dandelionarch.errors import LinkError
 from dandelionarch.logs import event
 
 log = logging.getLogger(__name__)
@@ -77,6 +69,9 @@
         self._crash_detector = CrashDetector(
             network, self._has_older_run, self.suspects.on_crash
         )
+        self._exchange = EndpointExchange(
+            self._endpoint_pool, watch, self.suspects, self._on_conditions
+        )
         self.stopping = False
         self.on_leaving = lambda endpoint_id: None
         network.subscribe(msgs.RequestHead, self._on_head)
@@ -326,7 +321,7 @@
             queued=local.queue.queued,
         )
         self._watch.on_run_started(endpoint, run, run.head.kind)
-        reason = run.reason = await self._exchange(run, local, deadline)
+        reason = run.reason = await self._exchange.run(run, local, deadline)
         if reason in (Reason.WORKER_REFUSED, Reason.WORKER_UNREACHABLE):
             self._refuse(run, local, reason)
         elif reason is not None:
@@ -340,85 +335,9 @@
             )
             run.send(msgs.Failure(run.head.attempt_id, reason.value, local.load()))
 
-    async def _exchange(self, run, local, deadline):
-        """Call the endpoint and relay its answer.
-
-        Returns
-        -------
-        Reason or None
-            The reason of a failure.
-        """
-        try:
-            async with asyncio.timeout_at(deadline):
-                return await self._relay(run, local, deadline)
-        except WorkerUnreachableError:
-            return Reason.WORKER_UNREACHABLE
-        except TimeoutError:
-            silent = run.call.reused and not run.call.answered
-            return Reason.WORKER_SILENT if silent else Reason.DEADLINE
-        except WorkerConnectionLostError:
-            return Reason.WORKER_LINK if run.call.reused else Reason.WORKER_FAILED
-        except (aiohttp.ClientPayloadError, BrokenAnswerError) as exc:
-            event(
-                log,
-                "answer_broken",
-                logging.WARNING,
-                request=run.head.request_id,
-                detail=str(exc),
-            )
-            return Reason.TRUNCATED
-        except (aiohttp.ClientError, OSError):
-            return Reason.WORKER_FAILED
-        except LinkError:
-            return Reason.LINK_LOST
-        except Exception:
-            log.exception("internal_error", extra={"request": run.head.request_id})
-            return Reason.INTERNAL_ERROR
-
-    async def _relay(self, run, local, deadline):
-        head = run.head
-        loop = asyncio.get_running_loop()
-        data = head.data if head.last else run.body_chunks()
-        sent_at = run.sent_at = loop.time()
-        budget_ms = max(1, int((deadline - sent_at) * 1000))
-        answer = await self._endpoint_pool.open(
-            run.call, local.endpoint, head, data, budget_ms
-        )
-        is_complete = False
-        try:
-            self._apply_conditions(local, answer, sent_at)
-            if self._endpoint_pool.is_refusal(answer):
-                return Reason.WORKER_REFUSED
-            await self._relay_answer(run, local, answer)
-            is_complete = run.body_sent
-            return None
-        finally:
-            # Only a connection whose exchange is complete may be reused.
-            answer.end(reusable=is_complete)
-
-    def _apply_conditions(self, local, answer, sent_at):
+    def _on_conditions(self, local, conditions, sent_at):
         """Apply what an answer says of the work that the endpoint takes."""
-        conditions = self._endpoint_pool.conditions(answer)
-        if conditions is None:
-            return
         if conditions.is_leaving:
             self.on_leaving(local.endpoint.endpoint_id)
         if local.apply_rate(conditions.rate_per_s, sent_at):
             self.broadcast_load(local.endpoint)
-
-    async def _relay_answer(self, run, local, answer):
-        attempt_id = run.head.attempt_id
-        first, last = await answer.read(CHUNK_BYTES)
-        self._watch.on_run_answered(local.endpoint, run, answer.status)
-        if answer.status < SERVER_ERROR:
-            self.suspects.on_answered(run.head.fingerprint)
-        headers = end_to_end(answer.headers.items())
-        await run.send_part(
-            msgs.ResponseHead(
-                attempt_id, answer.status, headers, first, last, local.load()
-            )
-        )
-        while not last:
-            data, last = await answer.read(CHUNK_BYTES)
-            await run.send_part(msgs.ResponseChunk(attempt_id, data, last))
-        run.answer_sent = True
