Close the connections of the tests' relay and workers

Cause: the relay of test_path_silence.py leaves a connection open whose stream's end it has dropped. It is collected after its loop has closed, in a later test; its finaliser raises, and pytest's hook prints the traceback, for which Python parses source code, within the parse that was interrupted. Python 3.11 takes that for a broken parser state. With a collection after each test, this was the only test of the path's and the platform's files with such a connection, and none has one now. The relay closes all connections at its end, as do the tests' workers.

--- a/tests/support/path.py
+++ b/tests/support/path.py
@@ -76,6 +76,9 @@
         self.ports = {}
         self._runners = []
         self._servers = []
+        # A connection that is collected after the loop has closed raises an error,
+        # which may hit the code that runs at that moment.
+        self._writers = set()
         self._log_port = free_ports(1)[0]
 
     async def __aenter__(self):
@@ -91,6 +94,8 @@
             await runner.cleanup()
         for server in self._servers:
             server.close()
+        for writer in self._writers:
+            writer.close()
 
     async def serve(self, app, port):
         """Serve an aiohttp application until the end of the test."""
@@ -169,6 +174,7 @@
         requests = []
 
         async def serve(reader, writer):
+            self._writers.add(writer)
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
                 while True:
                     head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
--- a/tests/support/platform/worker.py
+++ b/tests/support/platform/worker.py
@@ -77,15 +77,17 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     def stop(self):
-        """Stop listening."""
+        """Stop listening and close all connections."""
         self._server.close()
+        for writer in self._writers:
+            writer.close()
 
     def crash(self):
         """End all connections and stop listening."""
         self.crashes += 1
-        self.stop()
         for writer in self._writers:
             reset_connection(writer)
+        self.stop()
 
     @staticmethod
     async def _answer(req, writer):
--- a/tests/support/relay.py
+++ b/tests/support/relay.py
@@ -39,6 +39,9 @@
         """Close the port and all connections."""
         self._server.close()
         await self.cut()
+        # Those that have dropped the end of a stream are still open.
+        for writer in self._writers:
+            writer.close()
 
     async def cut(self):
         """Close all connections."""
