Keep what has gone ahead of an endpoint's limit when the limit changes

An endpoint that lowers its limit got two more requests at once with each change, and one that had taken no requests waited up to 8 s for its next one after it had named a higher limit.

Cause: the time until which requests had gone ahead was kept in seconds at the limit before, and the burst that is allowed was taken off in seconds at the new one. What has gone ahead is now kept as a number of requests when the limit changes.

--- a/dandelionarch/core/pacing.py
+++ b/dandelionarch/core/pacing.py
@@ -47,17 +47,24 @@
         self.is_known = self._has_answered = True
         was_limited = self.is_limited
         if rate_per_s is not None:
-            self.rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
+            self._set_rate(max(MIN_RATE_PER_S, rate_per_s), now)
             self._named_at = now
         elif sent_at > self._named_at:
-            self.rate_per_s = math.inf
+            self._set_rate(math.inf, now)
         return self.is_limited != was_limited
 
-    def assume(self, rate_per_s):
+    def assume(self, rate_per_s, now):
         """Use a limit that a peer knows of, until the endpoint has answered here."""
         if not self._has_answered:
             self.is_known = True
-            self.rate_per_s = max(MIN_RATE_PER_S, rate_per_s)
+            self._set_rate(max(MIN_RATE_PER_S, rate_per_s), now)
+
+    def _set_rate(self, rate_per_s, now):
+        """Change the limit; the requests that went ahead of it stay as many."""
+        if self.is_limited and rate_per_s < math.inf:
+            ahead = max(0.0, self._due_at - now) * self.rate_per_s
+            self._due_at = now + ahead / rate_per_s
+        self.rate_per_s = rate_per_s
 
     @property
     def is_limited(self):
--- a/dandelionarch/daemon/agent_endpoint.py
+++ b/dandelionarch/daemon/agent_endpoint.py
@@ -64,7 +64,7 @@
         """Offer an attempt to the queue; return the verdict of `CostQueue.offer`."""
         now = asyncio.get_running_loop().time()
         if head.rate_per_s:
-            self.queue.pacer.assume(head.rate_per_s)
+            self.queue.pacer.assume(head.rate_per_s, now)
         deadline = now + head.budget_ms / 1000
         verdict = self.queue.offer(
             run, now, head.route, deadline, head.priority, head.may_wait
--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -49,10 +49,10 @@
     def test_assumed_limit_gives_way_to_answers(self):
         """Guards against a peer's older knowledge of a limit that has ended."""
         pacer = Pacer()
-        pacer.assume(2.0)
+        pacer.assume(2.0, 0.3)
         assert pacer.rate_per_s == 2.0
         pacer.on_answer(None, sent_at=0.1, now=0.2)
-        pacer.assume(2.0)
+        pacer.assume(2.0, 0.3)
         assert not pacer.is_limited
 
     def test_limit_of_zero(self):
@@ -72,6 +72,43 @@
         assert not times or most_in_a_window(times) <= limit + 1e-6
 
 
+class TestMovingLimit:
+    """The limit changes from one answer to the next."""
+
+    @given(
+        st.lists(
+            st.tuples(st.floats(0.0, 0.5), st.one_of(st.none(), st.floats(0.0, 20.0))),
+            max_size=100,
+        )
+    )
+    def test_requests_follow_the_limit_of_the_moment(self, steps):
+        """Guards against bursts that changes of the limit allow.
+
+        A step is a pause and the limit that an answer names after it, if one does.
+        """
+        pacer, now, allowed, times = named(1.0), 0.0, 0.0, []
+        for pause_s, rate_per_s in steps:
+            now += pause_s
+            allowed += pause_s * pacer.rate_per_s
+            if rate_per_s is not None:
+                pacer.on_answer(rate_per_s, now, now)
+            while pacer.due_at() <= now:
+                pacer.on_request(now)
+                times.append(allowed)
+        for number, start in enumerate(times):
+            for count, end in enumerate(times[number:], 1):
+                assert count <= end - start + BURST + 1e-6
+
+    def test_limit_that_rises_takes_effect_at_once(self):
+        """Guards against idle seconds after an endpoint has taken no requests."""
+        pacer = named(0.0)
+        for _ in range(BURST):
+            pacer.on_request(0.0)
+        assert pacer.due_at() == pytest.approx(1 / MIN_RATE_PER_S)
+        pacer.on_answer(10.0, 0.5, 0.5)
+        assert pacer.due_at() < 0.7
+
+
 class TestQueue:
     """Slots are taken as the pace allows."""
 
