Show that requests late in a planned stop are broken off

Idempotent requests sent more than 3 s after SIGTERM are passed on and ended with a failure of the daemon's own. It takes the place of the case of the forgotten leaving, which needs a kill and a late heartbeat.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,122 +1,143 @@
-"""The daemon beside a leaving worker is killed, and an old heartbeat arrives late.
+"""Two daemons of a zone are stopped as planned while a worker beside one still works.
 
-The worker says that it leaves, to its daemon and in its answers, and goes on to serve
-for some seconds. Its last heartbeat from before arrives seconds late.
+Clients of that zone go on, as fewer than half of its daemons are ready. Some of their
+requests take longer than those before.
 """
 
 import asyncio
+import signal
 from pathlib import Path
 
 from review.common.client import send_request
 from review.common.fleet import CannotRunError, Fleet, route
+from review.common.http import read_body
 from review.common.script import main
 from review.common.worker import Worker
 
-SERVICE = "catalogue"
-VMS = 3
-WORK_S = 0.6
-REQUESTS_PER_S = 9.0
-# Seconds from the start of the traffic.
-LEAVES_AT_S = 4.0
-KILLED_AT_S = 4.5
-RESTARTED_AT_S = 5.0
-LATE_HEARTBEAT_AT_S = 7.5
-EXITS_AT_S = 14.0
-PLAY_S = 15.0
-DRAIN_S = 2.0
-
-
-class LeavingWorker(Worker):
-    """Names in its answers that it leaves once `state` says so."""
-
-    def answer(self, req, body, extra=""):
-        if self.state != "ready":
-            extra += "Server-Leaving: 1\r\n"
-        return super().answer(req, body, extra)
+SERVICE = "consultas"
+# Of the VMs, numbers 0, 2 and 4 are in the first zone.
+ZONES = ("rancagua", "stgo-a")
+VMS = 6
+WORK_S = 0.4
+TIMEOUT_MS = 5000
+DEADLINE_MS = 10_000
+REQUESTS_PER_S = 20
+PLAY_S = 11.0
+ORDERS = 10
+CALM_S = 6.0
+# Seconds after SIGTERM.
+GRACE_S = 6.0
+LONG_SENT_AT_S = (3.2, 3.4, 3.6, 3.8)
+SENT_LATE_S = 3.0
+# Work of the few requests that take long, which 3 in 100 may.
+LONG_WORK_S = 3.2
+ORDER_WORK_S = 4.9
+
+
+class TailWorker(Worker):
+    """Takes long for some requests: by their path, and for all orders if `is_slow`."""
+
+    is_slow = False
+    orders = 0
+
+    async def run(self, req, reader, writer):
+        path = req.start.split(" ")[1]
+        body = await read_body(reader, req.headers)
+        run = self.record(req, body)
+        work_s = LONG_WORK_S if path == "/estado/long" else WORK_S
+        if path == "/pedir/x" and self.is_slow:
+            self.orders += 1
+            work_s = ORDER_WORK_S
+        await asyncio.sleep(work_s)
+        writer.write(self.answer(req, b"done"))
+        run.answered = True
 
 
 async def case(record, trouble):
-    """Play the case; return the requests that reached the worker too late."""
-    routes = {"browse": route(SERVICE, "/browse/", "safe")}
-    async with Fleet([SERVICE] * VMS, routes) as fleet:
+    """Play the case; return the requests that were broken off."""
+    routes = {
+        "estado": route(
+            SERVICE, "/estado/", "safe", timeout_ms=TIMEOUT_MS, target_latency_ms=3000
+        ),
+        "pedir": route(SERVICE, "/pedir/", "unsafe", timeout_ms=6000),
+    }
+    async with Fleet([SERVICE] * VMS, routes, ZONES) as fleet:
         await fleet.wait_until_ready()
-        workers = [
-            LeavingWorker(f"i-{n}", daemon, WORK_S)
-            for n, daemon in enumerate(fleet.daemons)
-        ]
+        workers = [TailWorker(f"i-{n}", d) for n, d in enumerate(fleet.daemons)]
         for worker in workers:
             await worker.start()
         await asyncio.sleep(4.0)
-        start = asyncio.get_running_loop().time()
-        leaving = asyncio.create_task(_leave(workers[0], start, record, trouble))
+        # Two of the zone's three.
+        stopped = [fleet.daemons[0], fleet.daemons[2]]
+        daemon = stopped[0]
+        workers[0].is_slow = True
+        loop = asyncio.get_running_loop()
+        start = loop.time()
         tasks = []
-        # The clients are on the other machines, which nothing disturbs.
-        for number in range(int(REQUESTS_PER_S * PLAY_S)):
-            daemon = fleet.daemons[1 + number % (VMS - 1)]
-            request_id = f"r{number:06d}"
-            record.add(f"sent {request_id} to {daemon.name}")
-            request = send_request(daemon, request_id, "GET", "/browse/x")
-            tasks.append((daemon.name, asyncio.create_task(request)))
-            await asyncio.sleep(1 / REQUESTS_PER_S)
-        outcomes = [(name, await task) for name, task in tasks]
-        await leaving
-        for worker in workers[1:]:
+
+        def send(request_id, path, via=daemon):
+            record.add(f"sent {request_id} {path} to {via.name}")
+            request = send_request(
+                via, request_id, "POST", path, b"x", deadline_ms=DEADLINE_MS
+            )
+            tasks.append(asyncio.create_task(request))
+
+        stop_at = start + CALM_S
+        schedule = [
+            (n / REQUESTS_PER_S, f"r{n:04d}", "/estado/x")
+            for n in range(int(PLAY_S * REQUESTS_PER_S))
+        ]
+        schedule += [
+            (CALM_S + at, f"long-{n}", "/estado/long")
+            for n, at in enumerate(LONG_SENT_AT_S)
+        ]
+        schedule += [(CALM_S - 0.1, f"order-{n}", "/pedir/x") for n in range(ORDERS)]
+        stopping = asyncio.create_task(_stop(stopped, stop_at, record, trouble))
+        for at, request_id, path in sorted(schedule):
+            await asyncio.sleep(start + at - loop.time())
+            send(request_id, path, fleet.daemons[1] if path[1] == "p" else daemon)
+        outcomes = await asyncio.gather(*tasks)
+        await stopping
+        for worker in workers:
             worker.stop()
-    return _check(record, outcomes, workers[0])
-
-
-async def _leave(worker, start, record, trouble):
-    """Play what happens to the worker and to its daemon."""
-
-    async def until(second):
-        await asyncio.sleep(start + second - asyncio.get_running_loop().time())
-
-    await until(LEAVES_AT_S)
-    late_heartbeat = worker.heartbeat()
-    worker.stop_heartbeats()
-    worker.state = "leaving"
-    status = await worker.send_leave()
-    record.add(f"{worker.instance} says that it leaves: acknowledged with {status}")
-    if trouble:
-        await until(KILLED_AT_S)
-        worker.daemon.kill()
-        record.add(f"{worker.daemon.name} is killed")
-        await until(RESTARTED_AT_S)
-        worker.daemon.start()
-        record.add(f"{worker.daemon.name} is started again")
-    await until(LATE_HEARTBEAT_AT_S)
-    status = await worker.send_heartbeat(late_heartbeat)
-    record.add(f"a heartbeat from before arrives late: answered with {status}")
-    await until(EXITS_AT_S)
-    worker.stop()
-    record.add(f"{worker.instance} exits")
-
-
-def _check(record, outcomes, worker):
-    reached = {run.request_id for run in worker.runs}
-    for run in worker.runs:
-        record.add(f"run of {run.request_id} at {run.worker}", run.started_at)
-    # When each machine first passed on an answer that says that the worker leaves.
-    told_at = {}
-    for name, out in outcomes:
-        record.add(
-            f"{out.request_id} at {name}: {out.status} {out.error}", out.ended_at
-        )
-        if "server-leaving" in out.headers:
-            told_at[name] = min(out.ended_at, told_at.get(name, out.ended_at))
-    if not told_at:
-        raise CannotRunError("no answer said that the worker leaves")
+    return _check(record, outcomes, workers, stop_at)
+
+
+async def _stop(daemons, stop_at, record, trouble):
+    """Send SIGTERM to daemons, and SIGKILL after the grace time."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(stop_at - loop.time())
+    if not trouble:
+        return
+    for daemon in daemons:
+        daemon.signal(signal.SIGTERM)
+        record.add(f"{daemon.name} gets SIGTERM")
+    await asyncio.sleep(stop_at + GRACE_S - loop.time())
+    for daemon in daemons:
+        record.add(f"{daemon.name} has ended with {daemon.process.poll()}")
+        daemon.kill()
+
+
+def _check(record, outcomes, workers, stop_at):
+    record.add(f"{workers[0].orders} orders took long beside a stopped daemon")
+    if not workers[0].orders:
+        raise CannotRunError("the worker beside the stopped daemon ran no order")
+    began = {run.request_id for worker in workers for run in worker.runs}
     broken = []
-    for name, out in outcomes:
-        if out.request_id not in reached or name not in told_at:
-            continue
-        after_s = out.sent_at - told_at[name]
-        if after_s > DRAIN_S:
+    for out in outcomes:
+        record.add(f"{out.request_id}: {out.status} {out.error}", out.ended_at)
+        late = out.sent_at - stop_at > SENT_LATE_S
+        in_time = out.ended_at - out.sent_at < TIMEOUT_MS / 1000
+        ended_whole = out.status == 200 or out.status in (408, 421, 429, 503)
+        if late and in_time and out.request_id in began and not ended_whole:
             broken.append(
-                f"{out.request_id}: sent to {name} {after_s:.1f} s after that machine"
-                f" had passed on Server-Leaving, and reached {worker.instance}"
+                f"{out.request_id}: sent {out.sent_at - stop_at:.1f} s after SIGTERM,"
+                f" passed on, and ended with {out.status} {out.error}"
             )
-    record.add(f"{len(broken)} requests reached the leaving worker too late")
+    for run in (run for worker in workers for run in worker.runs):
+        record.add(f"run of {run.request_id} at {run.worker}", run.started_at)
+    if sum(out.status == 200 for out in outcomes) < len(outcomes) / 3:
+        raise CannotRunError("too few requests were served")
     return broken
 
 
