Let one attempt alone read the rest of a long request body

Cause: a second attempt is allowed while nothing has been read beyond the part of the body that is kept; both attempts then wait for credit, and both read the one stream. The later one takes the stream's end for the end of its own part. Ruled out by reading: ends by a cancelled attempt, a refusal, a lost link or a caller that leaves, each of which raises.

The first attempt whose endpoint has read takes the remainder for good, and only its generator can see the caller's end. The other attempt is told at once and cancelled. A fault of the caller's body ends both.

--- a/dandelionarch/daemon/attempt.py
+++ b/dandelionarch/daemon/attempt.py
@@ -9,7 +9,12 @@
 
 from dandelionarch.core.messages import request as msgs
 from dandelionarch.daemon.agent_run import CHUNK_BYTES, WINDOW_BYTES
-from dandelionarch.errors import BodyTooLargeError, BrokenAnswerError, LinkError
+from dandelionarch.errors import (
+    BodyTakenError,
+    BodyTooLargeError,
+    BrokenAnswerError,
+    LinkError,
+)
 
 log = logging.getLogger(__name__)
 
@@ -29,8 +34,14 @@
     error: Exception
 
 
+class BodyTaken:
+    """Put into an attempt's mailbox when another attempt reads the caller's body on."""
+
+
 class BodyRemainder:
-    """The part of a caller's body that is not kept; it can be read only once.
+    """The part of a caller's body that is not kept; a single attempt can read it.
+
+    Several attempts may wait for it while their endpoints read the part that is kept.
 
     Parameters
     ----------
@@ -43,30 +54,43 @@
 
     Attributes
     ----------
-    was_read : bool
-        True once reading has begun, so that the request can't be sent again.
+    was_taken : bool
+        True once an attempt reads it, so that the request can't be sent again.
     """
 
     def __init__(self, read, size, limit):
-        self.was_read = False
+        self.was_taken = False
         self._read = read
         self._size = size
         self._limit = limit
+        self._mailboxes = []
+
+    def add_attempt(self, mailbox):
+        """Have `BodyTaken` put into a mailbox if another attempt takes the body."""
+        self._mailboxes.append(mailbox)
 
-    async def next(self):
-        """Return the next bytes, or None at the end.
+    def take(self, mailbox):
+        """Return the asynchronous generator of the bytes up to the caller's end.
 
         Raises
         ------
-        BodyTooLargeError
-            If the body exceeds the limit.
+        BodyTakenError
+            If an attempt has taken the body before.
         """
-        self.was_read = True
-        data = await self._read()
-        self._size += len(data or b"")
-        if self._size > self._limit:
-            raise BodyTooLargeError(f"body exceeds {self._limit} bytes")
-        return data
+        if self.was_taken:
+            raise BodyTakenError("another attempt reads the body")
+        self.was_taken = True
+        for other in self._mailboxes:
+            if other is not mailbox:
+                other.put_nowait(BodyTaken())
+        return self._parts()
+
+    async def _parts(self):
+        while (data := await self._read()) is not None:
+            self._size += len(data)
+            if self._size > self._limit:
+                raise BodyTooLargeError(f"body exceeds {self._limit} bytes")
+            yield data
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,7 +110,7 @@
 
     def replayable(self):
         """Return True if the request can be sent again."""
-        return self.remainder is None or not self.remainder.was_read
+        return self.remainder is None or not self.remainder.was_taken
 
 
 class AttemptStream:
@@ -137,6 +161,9 @@
                 await self._send_remainder(req.remainder)
         except LinkError:
             self.mailbox.put_nowait(LinkLost())
+        except BodyTakenError:
+            # The attempt was told when the other one took the body.
+            return
         except (BodyTooLargeError, SanicException) as exc:
             self.mailbox.put_nowait(CallerFault(exc))
 
@@ -144,7 +171,7 @@
         # Reading the remainder makes a retry impossible, so it begins only after the
         # endpoint has read a part of what was sent.
         await self._wait_for_window(1)
-        while (data := await remainder.next()) is not None:
+        async for data in remainder.take(self.mailbox):
             for start in range(0, len(data), CHUNK_BYTES):
                 await self._send_part(data[start : start + CHUNK_BYTES], False)
             await self._wait_for_window(1)
--- a/dandelionarch/daemon/attempts.py
+++ b/dandelionarch/daemon/attempts.py
@@ -80,6 +80,8 @@
                 req.fingerprint,
             )
         )
+        if req.remainder is not None:
+            req.remainder.add_attempt(stream.mailbox)
         if not inline:
             stream.send_task = self._network.spawn(stream.send_body(req))
 
--- a/dandelionarch/daemon/replies.py
+++ b/dandelionarch/daemon/replies.py
@@ -23,6 +23,13 @@
     return isinstance(msg, msgs.Failure | LinkLost)
 
 
+def ends_run(msg):
+    """Return True if the agent needs no `Cancel` after a message."""
+    if isinstance(msg, msgs.ResponseHead):
+        return msg.last
+    return isinstance(msg, msgs.Refusal | msgs.Failure | LinkLost)
+
+
 def is_quarantined(msg):
     """Return True if no agent would run the request."""
     return isinstance(msg, msgs.Refusal) and reason_of(msg) is Reason.QUARANTINED
--- a/dandelionarch/daemon/second_attempts.py
+++ b/dandelionarch/daemon/second_attempts.py
@@ -5,8 +5,9 @@
 import logging
 
 from dandelionarch.core.messages import request as msgs
+from dandelionarch.daemon.attempt import CallerFault
 from dandelionarch.daemon.endpoint_watch import SERVER_ERROR
-from dandelionarch.daemon.replies import draws_on_budget, is_quarantined
+from dandelionarch.daemon.replies import draws_on_budget, ends_run, is_quarantined
 from dandelionarch.errors import LinkError
 from dandelionarch.logs import event
 
@@ -85,7 +86,8 @@
     async def _race(self, lifecycle, req, first, second):
         """Return the attempt that succeeds first, or else fails last, and its message.
 
-        The other one is closed.
+        The other one is closed. An attempt can't succeed once the other one has taken
+        the part of the body that is not kept.
         """
         pending = {
             asyncio.ensure_future(stream.next_reply()): stream
@@ -101,12 +103,14 @@
                 replied, msg = pending.pop(fut), fut.result()
                 if not pending:
                     return replied, msg
-                if isinstance(msg, msgs.ResponseHead) and msg.status < SERVER_ERROR:
+                is_success = (
+                    isinstance(msg, msgs.ResponseHead) and msg.status < SERVER_ERROR
+                )
+                if is_success or isinstance(msg, CallerFault):
                     lifecycle.on_attempt_discarded()
                     return replied, msg
                 # An error answer is dropped in favour of an attempt that still runs.
-                is_streaming = isinstance(msg, msgs.ResponseHead) and not msg.last
-                self._attempts.close(replied, cancel=is_streaming)
+                self._attempts.close(replied, cancel=not ends_run(msg))
                 if not isinstance(msg, msgs.Refusal) or draws_on_budget(msg):
                     lifecycle.on_attempt_discarded()
                 elif replied is not first and not is_quarantined(msg):
--- a/dandelionarch/errors.py
+++ b/dandelionarch/errors.py
@@ -123,6 +123,10 @@
     """A body exceeds its size limit."""
 
 
+class BodyTakenError(DandelionError):
+    """Another attempt of the request reads the caller's body."""
+
+
 class ConfigError(DandelionError):
     """The operator's configuration can't be decoded."""
 
