Bound the heads that may precede an endpoint's answer

Cause: one head and one body are bounded, a sequence of heads is not. Each interim head was queued, each head of another request logged, and force_close() neither closes a connection nor stops reading.

An answer may now be preceded by 16 responses and 128 KiB, parsed in pieces of 4 KiB; beyond that the connection is closed and the attempt is truncated. A response after the answer closes the connection as well. The status check at a daemon's start uses the same connections; its test passed on the code before, too.

--- a/dandelionarch/daemon/endpoint_connections.py
+++ b/dandelionarch/daemon/endpoint_connections.py
@@ -24,6 +24,12 @@
 IDLE_CONNECTION_S = 5.0
 # The kernel closes a connection whose data is not acknowledged for this long.
 USER_TIMEOUT_MS = 1500
+# Interim responses and late answers to earlier requests that may precede an answer; an
+# endpoint that sends more is faulty, and reading on would only occupy the event loop.
+MAX_HEADS_BEFORE_ANSWER = 16
+MAX_BYTES_BEFORE_ANSWER = 128 << 10
+# Bytes that are parsed at once before the answer, so that few heads are parsed in vain.
+HEAD_PIECE_BYTES = 4 << 10
 BODILESS_STATUSES = frozenset({204, 304})
 # aiohttp would otherwise add these to a request that lacks them.
 SKIPPED_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
@@ -48,6 +54,8 @@
 class EndpointProtocol(ResponseHandler):
     """Connection to an endpoint that drops responses to earlier requests.
 
+    It is closed if too much precedes the answer, or if anything follows it.
+
     Attributes
     ----------
     was_reset : bool
@@ -60,6 +68,9 @@
         self._id_field = id_field
         self._idle_limit = idle_limit
         self._expected_id = None
+        self._awaits_answer = False
+        self._heads_before_answer = 0
+        self._bytes_before_answer = 0
         self._requests = 0
         self._used_at = loop.time()
         self._idle_s = None
@@ -79,6 +90,8 @@
     def expect(self, fields):
         """Record the id of the request whose response is expected next."""
         self._expected_id = fields.get(self._id_field)
+        self._awaits_answer = True
+        self._heads_before_answer = self._bytes_before_answer = 0
         now = self._loop.time()
         if self._requests:
             self._idle_s = now - self._used_at
@@ -86,16 +99,40 @@
         self._used_at = now
 
     def data_received(self, data):
-        """Handle bytes of a response."""
+        """Handle bytes of a response; no bytes continue parsing after a pause."""
         self._idle_s = None
         self._used_at = self._loop.time()
+        while self._awaits_answer and data:
+            piece, data = data[:HEAD_PIECE_BYTES], data[HEAD_PIECE_BYTES:]
+            self._bytes_before_answer += len(piece)
+            super().data_received(piece)
+            if self.exception() is not None:
+                return
+            too_long = self._bytes_before_answer > MAX_BYTES_BEFORE_ANSWER
+            if self._awaits_answer and too_long:
+                self._break_off(f"no answer in {self._bytes_before_answer} bytes")
+                return
+            if not data:
+                return
         super().data_received(data)
 
     def feed_data(self, data, size=0):
         """Handle a response whose head has arrived."""
+        if self.exception() is not None:
+            return
         message, _ = data
+        if not self._awaits_answer:
+            # It belongs to no request. The answer before it is complete.
+            self._break_off("response follows the answer")
+            return
         answered_id = message.headers.get(self._id_field, self._expected_id)
-        if self._expected_id is not None and answered_id != self._expected_id:
+        is_stale = self._expected_id is not None and answered_id != self._expected_id
+        if is_stale or _is_interim(message):
+            self._heads_before_answer += 1
+            if self._heads_before_answer > MAX_HEADS_BEFORE_ANSWER:
+                self._break_off(f"{self._heads_before_answer} heads before the answer")
+                return
+        if is_stale:
             # An endpoint may send a second response to a request that has ended.
             event(
                 log,
@@ -106,8 +143,21 @@
             )
             self.force_close()
             return
+        self._awaits_answer = _is_interim(message)
         super().feed_data(data, size)
 
+    def _break_off(self, detail):
+        """Close the connection; the answer fails unless it is complete."""
+        event(
+            log,
+            "connection_broken_off",
+            logging.WARNING,
+            request=self._expected_id,
+            detail=detail,
+        )
+        self.set_exception(BrokenAnswerError(detail))
+        self.transport.abort()
+
     def eof_received(self):
         """Record that the endpoint has closed its side."""
         self._peer_closed = True
@@ -197,6 +247,27 @@
             self._resp.close()
 
 
+def open_session(dialect, **options):
+    """Return a client session that calls endpoints over `EndpointProtocol`s.
+
+    `dialect` is their `EndpointDialect`; `options` go to `aiohttp.ClientSession`.
+    """
+    connector = EndpointConnector(
+        dialect.request_id_field,
+        limit=0,
+        keepalive_timeout=IDLE_CONNECTION_S,
+        socket_factory=functools.partial(open_socket, user_timeout_ms=USER_TIMEOUT_MS),
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        request_class=EndpointRequest,
+        skip_auto_headers=SKIPPED_AUTO_HEADERS,
+        **options,
+    )
+
+
 class EndpointPool:
     """Opens requests to endpoints over pooled connections.
 
@@ -213,22 +284,10 @@
         """Open the pool."""
         trace = aiohttp.TraceConfig()
         trace.on_connection_reuseconn.append(_on_connection_reused)
-        connector = EndpointConnector(
-            self._dialect.request_id_field,
-            limit=0,
-            keepalive_timeout=IDLE_CONNECTION_S,
-            socket_factory=functools.partial(
-                open_socket, user_timeout_ms=USER_TIMEOUT_MS
-            ),
-        )
-        self._session = aiohttp.ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
+        self._session = open_session(
+            self._dialect,
             trace_configs=[trace],
             middlewares=[prevent_resend],
-            request_class=EndpointRequest,
-            skip_auto_headers=SKIPPED_AUTO_HEADERS,
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         )
 
@@ -295,6 +354,11 @@
     return head.method == "HEAD" or resp.status in BODILESS_STATUSES
 
 
+def _is_interim(message):
+    # Status 101 ends the HTTP exchange.
+    return 100 <= message.code < 200 and message.code != 101
+
+
 async def _on_connection_reused(session, context, params):
     context.trace_request_ctx.reused = True
 
--- a/dandelionarch/daemon/endpoint_probe.py
+++ b/dandelionarch/daemon/endpoint_probe.py
@@ -11,7 +11,9 @@
 
 from dandelionarch.core.endpoint_reports import EndpointReport
 from dandelionarch.core.world import UNKNOWN_START, EndpointState
+from dandelionarch.daemon.endpoint_connections import open_session
 from dandelionarch.daemon.settings import split_address
+from dandelionarch.errors import BrokenAnswerError
 from dandelionarch.ids import ServiceName
 from dandelionarch.logs import event
 
@@ -20,6 +22,7 @@
 MAX_ATTEMPTS = 8
 RETRY_DELAY_S = 0.25
 TIMEOUT_S = 1.0
+PROBE_ERRORS = (aiohttp.ClientError, BrokenAnswerError, OSError, TimeoutError)
 
 
 class EndpointProbe:
@@ -50,7 +53,7 @@
         if not self._section.address:
             return
         timeout = aiohttp.ClientTimeout(total=TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with open_session(self._dialect, timeout=timeout) as session:
             for _ in range(MAX_ATTEMPTS):
                 if self._has_reported() or await self._probe_once(session):
                     return
@@ -65,7 +68,7 @@
         try:
             async with session.get(url, allow_redirects=False) as resp:
                 status, identity = resp.status, self._dialect.identity(resp.headers)
-        except (aiohttp.ClientError, OSError, TimeoutError) as exc:
+        except PROBE_ERRORS as exc:
             event(log, "endpoint_probe_failed", error=type(exc).__name__, detail=exc)
             return False
         endpoint_id = identity.endpoint_id if identity is not None else "-"
