Tell callers apart from calls late in a planned stop

Two of three daemons of a data centre stop, so their callers stay.

Cause: whether an idempotent request may outlast the stop was judged by the longest of its route's recent answers, for the sake of calls of the VM's own endpoint, whose callers would fail.

A call expires with the run that makes it, at the latest, and the agent knows the deadlines of its runs. A request whose caller waits longer is no call, and is now judged by its whole budget, as orders are.

--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -4,6 +4,7 @@
 import contextlib
 import functools
 import logging
+import math
 
 from dandelionarch.core.mechanisms import Mechanism
 from dandelionarch.core.messages import request as msgs
@@ -28,6 +29,9 @@
 # The slot is idle during this time; a reply over a link takes milliseconds.
 CONFIRM_TIMEOUT_S = 0.5
 
+# Endpoints and the network round and delay what is left of a request's time.
+CALL_EXPIRY_TOLERANCE_S = 0.05
+
 # The connection to the endpoint broke before an answer began.
 BROKEN_REASONS = frozenset({Reason.WORKER_FAILED, Reason.WORKER_LINK})
 REASON_OF_VERDICT = {"busy": Reason.BUSY, "refuse": Reason.QUEUE_FULL}
@@ -143,6 +147,19 @@
         """Return the number of attempts that are queued or running."""
         return len(self._runs)
 
+    def may_have_called(self, expires_at):
+        """Return True if a request may be a call made by a run of this VM.
+
+        An endpoint's calls expire with the request that it is running, at the latest.
+
+        Parameters
+        ----------
+        expires_at : float
+            Loop time, in seconds, until which the request's caller waits.
+        """
+        latest = max((run.deadline for run in self._runs.values()), default=-math.inf)
+        return expires_at <= latest + CALL_EXPIRY_TOLERANCE_S
+
     def _local_endpoint(self, endpoint_id):
         endpoint = self._directory.endpoints.get(endpoint_id)
         if endpoint is None or endpoint.vm_id != self._vm_id:
--- a/dandelionarch/daemon/agent_run.py
+++ b/dandelionarch/daemon/agent_run.py
@@ -30,6 +30,9 @@
         Set when the ingress has confirmed that the attempt may start.
     sent_at : float
         Loop time, in seconds, at which the call of the endpoint began; inf before.
+    deadline : float
+        Loop time, in seconds, by which the endpoint must have answered; -inf before
+        its call begins.
     answer_sent : bool
         True once the whole answer has been sent to the ingress.
     reason : Reason or None
@@ -47,6 +50,7 @@
         self.started = asyncio.Event()
         self.confirmed = asyncio.Event()
         self.sent_at = math.inf
+        self.deadline = -math.inf
         self.answer_sent = False
         self.reason = Reason.CANCELLED
         self.call = Call()
--- a/dandelionarch/daemon/endpoint_exchange.py
+++ b/dandelionarch/daemon/endpoint_exchange.py
@@ -81,6 +81,7 @@
         loop = asyncio.get_running_loop()
         data = head.data if head.last else run.body_chunks()
         sent_at = run.sent_at = loop.time()
+        run.deadline = deadline
         budget_ms = max(1, int((deadline - sent_at) * 1000))
         answer = await self._pool.open(run.call, local.endpoint, head, data, budget_ms)
         is_complete = False
--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -71,6 +71,9 @@
     callers_have_left : bool
         True in the part of a planned stop in which callers have had time to move to
         other VMs. A request that may take longer than the time left is then refused.
+    may_be_call : callable
+        `may_be_call(expires_at)` returns False if a request can't be a call of this
+        VM's endpoint, by the loop time in seconds until which its caller waits.
     """
 
     def __init__(
@@ -96,6 +99,7 @@
         self.stopping = False
         self.time_left_s = lambda: math.inf
         self.callers_have_left = False
+        self.may_be_call = lambda expires_at: True
         self.app = IngressApp(
             f"ingress-{uuid.uuid4().hex[:8]}", configure_logging=False
         )
@@ -202,7 +206,7 @@
         try:
             customer = self._callers.customer(request)
             route = self._route_of(request)
-            budget_s = self._budget_s(request, route)
+            patience_s, budget_s = self._times_s(request, route)
         except UnknownCustomerError as exc:
             return self._bad_request(request_id, 401, exc)
         except UnknownRouteError as exc:
@@ -210,7 +214,7 @@
         except BadRequestError as exc:
             return self._bad_request(request_id, 400, exc)
         work = self._make_work(request_id, customer, route)
-        if self._may_outlast_stop(work, budget_s):
+        if self._may_outlast_stop(work, budget_s, started + patience_s):
             outcome = self._unchecked_outcome(request, route.idempotent)
             retry_s = self._ingress.retry_after_s()
             return self._refusal(
@@ -228,14 +232,18 @@
         finally:
             self._customer_limits.finish(key)
 
-    def _may_outlast_stop(self, work, budget_s):
-        """Return True if a planned stop would, or may, abort a request."""
+    def _may_outlast_stop(self, work, budget_s, expires_at):
+        """Return True if a planned stop would, or may, abort a request.
+
+        `expires_at` is the loop time in seconds until which its caller waits.
+        """
         needed_s = self._ingress.likely_time_s(work)
         if self.callers_have_left:
             # A straggler may take up its whole budget. A call of this VM's endpoint,
             # which is idempotent, is not refused for that, as its caller would fail.
-            longest_s = self._ingress.longest_time_s(work)
-            straggler_s = min(budget_s, longest_s) if work.idempotent else budget_s
+            straggler_s = budget_s
+            if work.idempotent and self.may_be_call(expires_at):
+                straggler_s = min(budget_s, self._ingress.longest_time_s(work))
             needed_s = max(needed_s, straggler_s)
         return needed_s > self.time_left_s()
 
@@ -258,12 +266,12 @@
             raise BadRequestError(f"invalid header {name!r}")
         return route
 
-    def _budget_s(self, request, route):
-        """Return the time budget in seconds."""
+    def _times_s(self, request, route):
+        """Return for how long the caller waits, and the time budget, in seconds."""
         given_ms = self._callers.budget_ms(request)
         if given_ms is None:
-            return route.budget_ms / 1000
-        return min(given_ms, route.budget_ms) / 1000
+            return math.inf, route.budget_ms / 1000
+        return given_ms / 1000, min(given_ms, route.budget_ms) / 1000
 
     def _make_work(self, request_id, customer, route):
         priority = customer.priority if route.priority is None else route.priority
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -315,6 +315,7 @@
         self.http.time_left_s = lambda: self.stop_request.time_left_s(
             self._stop_timeout_s
         )
+        self.http.may_be_call = self.agent.may_have_called
         self.network.broadcast(msgs.Leaving(self.vm_id))
         leave = asyncio.create_task(self.registry.leave(self._stop_timeout_s))
         await asyncio.sleep(self.settings.stop.drain_s)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -4,7 +4,7 @@
 import json
 import time
 
-from dandelionarch.core.hedging import MIN_SAMPLES
+from dandelionarch.core.hedging import MIN_SAMPLES, MIN_SAMPLES_OF_LONGEST
 from dandelionarch.core.world import Health
 from tests.support.path import until
 from tests.support.platform.fleet import (
@@ -409,6 +409,49 @@
         await drained
         await long
 
+    @platform_test
+    async def test_caller_is_told_apart_from_a_call(self, fleet, session):
+        """Guards against aborting an idempotent straggler late in a stop (LOST).
+
+        Callers stay if most daemons of their data centre stop. A request that takes
+        longer than all recent ones was taken, and aborted at the end of the stop. Only
+        a call of the VM's endpoint, which expires with its run, goes by recent times.
+        """
+
+        async def work(req, writer):
+            await asyncio.sleep(3.0 if b"long" in req.body else 0.01)
+            writer.write(answer(req))
+
+        stopping = await fleet.daemon("vm-a", service="stock", kill_after_s=2.4)
+        await fleet.daemon("vm-b")
+        routes = ROUTES | {"long": route("stock", prefix="/long/")}
+        await fleet.configure(routes=routes)
+        worker = await fleet.worker("vm-b", work, session=session)
+        await fleet.worker("vm-a", work, service="stock", session=session)
+        await fleet.wait_for_links()
+        for n in range(MIN_SAMPLES_OF_LONGEST):
+            assert (await ask(session, fleet, "vm-a", request_id=f"known-{n}"))[
+                0
+            ] == 200
+        calling = asyncio.create_task(
+            ask(session, fleet, "vm-b", "/long/1", "l", data=b"long", deadline_ms=5000)
+        )
+        await until(lambda: stopping.agent.in_flight, "endpoint of the VM works")
+        drained = asyncio.create_task(stopping.drain())
+        await asyncio.sleep(0.3)
+        received = len(worker.received)
+        status, _, body = await ask(
+            session, fleet, "vm-a", request_id="caller", data=b"long", deadline_ms=10000
+        )
+        assert (status, json.loads(body)["title"]) == (503, "stopping")
+        assert len(worker.received) == received
+        status, _, _ = await ask(
+            session, fleet, "vm-a", request_id="call", deadline_ms=2500
+        )
+        assert status == 200
+        await drained
+        await calling
+
 
 class TestRouteTimeout:
     """A route limits the time for which a caller waits."""
