End the budgets of requests with the planned stop of their daemon

Its logs show that they waited for a slot: refused as busy by three agents, then fifth in the queue of an endpoint whose slots were taken by requests of 2.8 s.

Cause: agents admit and keep a request by its budget, which did not know of the stop. The budget of a request that is taken in a stop now ends with the time that the stop leaves it, 0.3 s before connections close: an agent that can't start it in time refuses it, as not run.

On the code before, the call of the test is answered only once its daemon has drained.

--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -220,6 +220,8 @@
             return self._refusal(
                 work, Refuse(outcome, Reason.STOPPING, retry_s), started
             )
+        # What still waits for a slot at the end of a stop is then refused as not run.
+        budget_s = min(budget_s, self.time_left_s())
         if self._customer_limits is None:
             return await self._run_request(request, work, started, budget_s)
         key, reason, retry_s = await self._customer_limits.admit(work)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -452,6 +452,54 @@
         await drained
         await calling
 
+    @platform_test
+    async def test_request_that_waits_is_refused_before_the_stop_ends(
+        self, fleet, session
+    ):
+        """Guards against aborting, as unknown, what waits for a slot in a stop (LOST).
+
+        The endpoint's slots are taken by long work. A call that takes a few ms waited
+        for one until the daemon of its VM had stopped.
+        """
+
+        async def work(req, writer):
+            await asyncio.sleep(3.0 if b"long" in req.body else 0.01)
+            writer.write(answer(req))
+
+        def start_long(path, request_id):
+            options = {"data": b"long", "method": "POST", "deadline_ms": 4000}
+            return asyncio.create_task(
+                ask(session, fleet, "vm-b", path, request_id, **options)
+            )
+
+        stopping = await fleet.daemon("vm-a", service="stock", kill_after_s=2.4)
+        await fleet.daemon("vm-b")
+        routes = {
+            "read": route(timeout_ms=4000),
+            "long": route("stock", prefix="/long/", timeout_ms=4000),
+        }
+        await fleet.configure(routes=routes)
+        worker = await fleet.worker("vm-b", work, session=session)
+        await fleet.worker("vm-a", work, service="stock", session=session)
+        await fleet.wait_for_links()
+        for n in range(MIN_SAMPLES_OF_LONGEST):
+            await ask(session, fleet, "vm-a", request_id=f"known-{n}")
+        taken = len(worker.received)
+        long = [start_long("/orders/1", f"long-{n}") for n in range(3)]
+        long.append(start_long("/long/1", "calls"))
+        await until(lambda: stopping.agent.in_flight, "endpoint of the VM works")
+        await until(lambda: len(worker.received) == taken + 3, "slots are taken")
+        drained = asyncio.create_task(stopping.drain())
+        await asyncio.sleep(0.3)
+        status, _, _ = await ask(
+            session, fleet, "vm-a", request_id="call", deadline_ms=2500
+        )
+        assert status == 503
+        assert not drained.done()
+        assert "call" not in [req.request_id for req in worker.received]
+        await drained
+        await asyncio.gather(*long)
+
 
 class TestRouteTimeout:
     """A route limits the time for which a caller waits."""
