Send no attempts again once a daemon has stopped

Cause: an attempt whose link closes is repeated elsewhere, also if the daemon itself closes it. The ingress now sends nothing once the daemon has drained. The test saw two runs instead of one on the code before.

--- a/dandelionarch/daemon/ingress.py
+++ b/dandelionarch/daemon/ingress.py
@@ -85,6 +85,7 @@
             network, self._attempts, self._hedging, self.decisions, self._replenish
         )
         self.fetch_endpoints = None
+        self._has_stopped = False
         network.subscribe(msgs.Credit, self._on_credit)
         network.subscribe(
             msgs.LoadNotice, lambda link, msg: self._views.on_load_report(msg.load)
@@ -136,7 +137,9 @@
         await self._ensure_endpoints(work.service, deadline)
         command = lifecycle.start(loop.time())
         while isinstance(command, Dispatch | Park):
-            if isinstance(command, Park):
+            if self._has_stopped:
+                command = lifecycle.on_abandoned(Reason.STOPPING)
+            elif isinstance(command, Park):
                 await self._wait_parked(work, command)
                 command = lifecycle.resume(command.reason, loop.time())
             else:
@@ -149,6 +152,10 @@
             raise CallerBodyError(command.outcome, lifecycle.caller_error)
         return command
 
+    def stop(self):
+        """Send no further attempts; requests end with those that are in flight."""
+        self._has_stopped = True
+
     async def _wait_parked(self, work, command):
         """Wait until an endpoint may be available again."""
         event(
--- a/dandelionarch/daemon/lifecycle.py
+++ b/dandelionarch/daemon/lifecycle.py
@@ -29,7 +29,7 @@
 class DaemonLifecycle(ABC):
     """Owns a daemon's servers and tasks; subclasses build its parts.
 
-    Subclasses must set `network`, `agent` and `http`.
+    Subclasses must set `network`, `agent`, `ingress` and `http`.
 
     Parameters
     ----------
@@ -143,6 +143,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for server in self._servers:
             server.close()
+        # The links that close end attempts, which would be sent again over other links.
+        self.ingress.stop()
         errors = await run_steps(self._stop_steps(), StopError)
         if errors:
             raise ExceptionGroup("daemon did not stop properly", errors)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -500,6 +500,40 @@
         await drained
         await asyncio.gather(*long)
 
+    @platform_test
+    async def test_stop_sends_no_attempts_again(self, fleet, session):
+        """Guards against runs that a stopped daemon starts and nobody waits for.
+
+        A daemon that stops closes its links, and took that for the failure of each.
+        """
+
+        async def hang(req, writer):
+            await asyncio.sleep(2.0)
+
+        stopping = await fleet.daemon("vm-a", service="stock", kill_after_s=1.2)
+        for vm in ("vm-b", "vm-c", "vm-d"):
+            await fleet.daemon(vm)
+        # The objective is so long that no second attempt is due.
+        await fleet.configure(
+            routes={"read": route(max_attempts=3, target_latency_ms=20_000)}
+        )
+        workers = [
+            await fleet.worker(vm, hang, session=session)
+            for vm in ("vm-b", "vm-c", "vm-d")
+        ]
+        await fleet.wait_for_links()
+
+        def received():
+            return sum(len(worker.received) for worker in workers)
+
+        asked = asyncio.create_task(ask(session, fleet, "vm-a", deadline_ms=3000))
+        await until(received, "request at its endpoint")
+        await stopping.drain()
+        await stopping.stop()
+        await asyncio.sleep(0.2)
+        assert received() == 1
+        await asyncio.gather(asked, return_exceptions=True)
+
 
 class TestRouteTimeout:
     """A route limits the time for which a caller waits."""
