Let each credit name its body, and tell an ingress of a cancelled run

Cause: on a daemon's link to itself, attempts and runs have the same numbers, and a credit for the answer also enlarged the window of the request's body. The agent then cancelled the run for what exceeded its window, and told nobody.

A credit names its body now; one without, from an older daemon, counts for both as before. A run that exceeds its window sends a Failure.

--- a/dandelionarch/core/messages/request.py
+++ b/dandelionarch/core/messages/request.py
@@ -1,6 +1,7 @@
 """Messages that carry one request from an ingress to an agent and back."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,12 +103,29 @@
     last: bool
 
 
+class CreditedBody(Enum):
+    """Body for which a `Credit` is given."""
+
+    REQUEST = "request"
+    ANSWER = "answer"
+
+
 @dataclass(frozen=True, slots=True)
 class Credit:
-    """Flow control: allow the peer to send `size` more bytes of an attempt's body."""
+    """Flow control: allow the peer to send `size` more bytes of an attempt's body.
+
+    `body` is the value of a `CreditedBody`. Attempts of both directions of a link may
+    have the same id, so a credit that doesn't name its body, as older daemons send it,
+    is taken by both sides.
+    """
 
     attempt_id: int
     size: int
+    body: str = ""
+
+    def is_for(self, body):
+        """Return True if the credit is, or may be, for a `CreditedBody`."""
+        return self.body in ("", body.value)
 
 
 @dataclass(frozen=True, slots=True)
--- a/dandelionarch/daemon/agent.py
+++ b/dandelionarch/daemon/agent.py
@@ -259,14 +259,19 @@
 
     def _on_chunk(self, link, msg):
         run = self._runs.get((link, msg.attempt_id))
-        if run is not None and not run.receive(msg.data, msg.last):
-            event(log, "window_exceeded", logging.WARNING, vm=link.vm_id)
-            run.task.cancel()
+        if run is None or run.task.cancelling() or run.receive(msg.data, msg.last):
+            return
+        event(log, "window_exceeded", logging.WARNING, vm=link.vm_id)
+        # Otherwise the ingress, and its caller, would wait for the rest of the answer.
+        local = self._local_endpoints[run.head.endpoint_id]
+        reason = Reason.INTERNAL_ERROR.value
+        run.send(msgs.Failure(msg.attempt_id, reason, local.load()))
+        run.task.cancel()
 
     def on_credit(self, link, msg):
-        """Enlarge the send window of an attempt."""
+        """Enlarge the send window of an answer."""
         run = self._runs.get((link, msg.attempt_id))
-        if run is not None:
+        if run is not None and msg.is_for(msgs.CreditedBody.ANSWER):
             run.window_bytes += msg.size
             run.window_open.set()
 
--- a/dandelionarch/daemon/agent_run.py
+++ b/dandelionarch/daemon/agent_run.py
@@ -77,7 +77,8 @@
             if data:
                 yield data
                 self.unread_bytes -= len(data)
-                self.send(msgs.Credit(self.head.attempt_id, len(data)))
+                credit = (self.head.attempt_id, len(data))
+                self.send(msgs.Credit(*credit, msgs.CreditedBody.REQUEST.value))
         self.body_sent = True
 
     async def send_part(self, msg):
--- a/dandelionarch/daemon/attempt.py
+++ b/dandelionarch/daemon/attempt.py
@@ -190,8 +190,9 @@
 
     def send_credit(self, size):
         """Allow the agent to send `size` more bytes of the answer."""
+        credit = (self.attempt_id, size, msgs.CreditedBody.ANSWER.value)
         with contextlib.suppress(LinkError):
-            self.link.send(msgs.Credit(self.attempt_id, size))
+            self.link.send(msgs.Credit(*credit))
 
 
 class Answer:
--- a/dandelionarch/daemon/attempts.py
+++ b/dandelionarch/daemon/attempts.py
@@ -100,7 +100,9 @@
     def on_credit(self, link, msg):
         """Enlarge the send window of an attempt whose body is sent in parts."""
         stream = self._streams.get(msg.attempt_id)
-        if stream is not None and stream.link is link:
+        if stream is None or stream.link is not link:
+            return
+        if msg.is_for(msgs.CreditedBody.REQUEST):
             stream.window_bytes += msg.size
             stream.window_open.set()
 
--- a/dandelionarch/wire/request.capnp
+++ b/dandelionarch/wire/request.capnp
@@ -62,6 +62,7 @@
 struct Credit {
   attemptId @0 :UInt64;
   size @1 :UInt32;
+  body @2 :Text;
 }
 
 struct Refusal {
