--- a/dandelionarch/daemon/ingress_http.py
+++ b/dandelionarch/daemon/ingress_http.py
@@ -23,6 +23,7 @@
 from dandelionarch.daemon.caller_connections import IngressApp
 from dandelionarch.daemon.headers import from_wire, invalid_field
 from dandelionarch.daemon.runtime import ERROR_FORMAT
+from dandelionarch.daemon.stopping import PlannedStop
 from dandelionarch.errors import (
     BadRequestError,
     BodyTimeoutError,
@@ -65,15 +66,8 @@
 
     Attributes
     ----------
-    time_left_s : callable
-        Returns the seconds until a planned stop ends the requests in flight. A request
-        that most likely takes longer is refused, as it would be aborted.
-    callers_have_left : bool
-        True in the part of a planned stop in which callers have had time to move to
-        other VMs. A request that may take longer than the time left is then refused.
-    may_be_call : callable
-        `may_be_call(expires_at)` returns False if a request can't be a call of this
-        VM's endpoint, by the loop time in seconds until which its caller waits.
+    planned_stop : PlannedStop
+        Tells which requests a planned stop leaves no time for.
     """
 
     def __init__(
@@ -97,9 +91,7 @@
         self._split = ServiceSplit(self._rng)
         self.in_flight = 0
         self.stopping = False
-        self.time_left_s = lambda: math.inf
-        self.callers_have_left = False
-        self.may_be_call = lambda expires_at: True
+        self.planned_stop = PlannedStop(ingress)
         self.app = IngressApp(
             f"ingress-{uuid.uuid4().hex[:8]}", configure_logging=False
         )
@@ -214,14 +206,14 @@
         except BadRequestError as exc:
             return self._bad_request(request_id, 400, exc)
         work = self._make_work(request_id, customer, route)
-        if self._may_outlast_stop(work, budget_s, started + patience_s):
+        if self.planned_stop.may_abort(work, budget_s, started + patience_s):
             outcome = self._unchecked_outcome(request, route.idempotent)
             retry_s = self._ingress.retry_after_s()
             return self._refusal(
                 work, Refuse(outcome, Reason.STOPPING, retry_s), started
             )
         # What still waits for a slot at the end of a stop is then refused as not run.
-        budget_s = min(budget_s, self.time_left_s())
+        budget_s = min(budget_s, self.planned_stop.time_left_s())
         if self._customer_limits is None:
             return await self._run_request(request, work, started, budget_s)
         key, reason, retry_s = await self._customer_limits.admit(work)
@@ -234,21 +226,6 @@
         finally:
             self._customer_limits.finish(key)
 
-    def _may_outlast_stop(self, work, budget_s, expires_at):
-        """Return True if a planned stop would, or may, abort a request.
-
-        `expires_at` is the loop time in seconds until which its caller waits.
-        """
-        needed_s = self._ingress.likely_time_s(work)
-        if self.callers_have_left:
-            # A straggler may take up its whole budget. A call of this VM's endpoint,
-            # which is idempotent, is not refused for that, as its caller would fail.
-            straggler_s = budget_s
-            if work.idempotent and self.may_be_call(expires_at):
-                straggler_s = min(budget_s, self._ingress.longest_time_s(work))
-            needed_s = max(needed_s, straggler_s)
-        return needed_s > self.time_left_s()
-
     def _route_of(self, request):
         """Return the route of a request, after a check of its header fields.
 
--- a/dandelionarch/daemon/registry_app.py
+++ b/dandelionarch/daemon/registry_app.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import functools
 import logging
 import math
 import random
@@ -312,14 +313,15 @@
         # until then, and as long as endpoints on this VM still make calls.
         self._stopping = True
         self.agent.stopping = True
-        self.http.time_left_s = lambda: self.stop_request.time_left_s(
-            self._stop_timeout_s
+        planned_stop = self.http.planned_stop
+        planned_stop.time_left_s = functools.partial(
+            self.stop_request.time_left_s, self._stop_timeout_s
         )
-        self.http.may_be_call = self.agent.may_have_called
+        planned_stop.may_be_call = self.agent.may_have_called
         self.network.broadcast(msgs.Leaving(self.vm_id))
         leave = asyncio.create_task(self.registry.leave(self._stop_timeout_s))
         await asyncio.sleep(self.settings.stop.drain_s)
-        self.http.callers_have_left = True
+        planned_stop.callers_have_left = True
         while self.agent.in_flight and has_time():
             await asyncio.sleep(STOP_POLL_PERIOD_S)
         self.http.refuse_new_work()
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -353,7 +353,9 @@
             session, fleet, "vm-a", request_id="in time", deadline_ms=700
         )
         assert status == 200
-        await until(lambda: stopping.http.time_left_s() < 0.35, "little time left")
+        await until(
+            lambda: stopping.http.planned_stop.time_left_s() < 0.35, "little time left"
+        )
         received = len(worker.received)
         status, _, body = await ask(session, fleet, "vm-a", request_id="late")
         assert (status, json.loads(body)["title"]) == (503, "stopping")
