--- a/dandelionarch/daemon/endpoint_connections.py
+++ b/dandelionarch/daemon/endpoint_connections.py
@@ -16,7 +16,6 @@
     WorkerUnreachableError,
 )
 
-
 CONNECT_TIMEOUT_S = 1.0
 IDLE_CONNECTION_S = 5.0
 # The kernel closes a connection whose data is not acknowledged for this long.
