Restore the package's logger after each test

The tests of the settings check call a program's main, which has the package's logger write to the stream of its test. Every later log line of the run printed a traceback (220 for one test that followed), now none. Found while looking for the cause of a failure of test_restarted_daemon_keeps_the_limit in a whole run beside load; whether it is the cause is not shown (3.43 s for that test with, 3.36 s without the tracebacks, on their own).

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Settings and fixtures of all tests."""
 
+import logging
 import random
 from pathlib import Path
 
@@ -32,6 +33,21 @@
     return random.Random(1)
 
 
+@pytest.fixture(autouse=True)
+def restored_logs():
+    """Restore the package's logger after each test.
+
+    A program's `main` has it write to the stream of its test. Once that is closed,
+    each line would print a traceback, which delays all tests that follow.
+    """
+    logger = logging.getLogger("dandelionarch")
+    handlers, level, propagate = logger.handlers[:], logger.level, logger.propagate
+    yield
+    logger.handlers[:] = handlers
+    logger.setLevel(level)
+    logger.propagate = propagate
+
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
