--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -258,6 +258,26 @@
         assert len(good.received) == 4
 
 
+async def start_beside_work(fleet, session, routes):
+    """Start a daemon to stop, and another one, each beside a worker.
+
+    The workers take 3 s for a body with "long" in it, otherwise 10 ms. Returns the
+    daemon, whose VM has the worker of `stock`, and the worker of `orders`.
+    """
+
+    async def work(req, writer):
+        await asyncio.sleep(3.0 if b"long" in req.body else 0.01)
+        writer.write(answer(req))
+
+    stopping = await fleet.daemon("vm-a", service="stock", kill_after_s=2.4)
+    await fleet.daemon("vm-b")
+    await fleet.configure(routes=routes)
+    worker = await fleet.worker("vm-b", work, session=session)
+    await fleet.worker("vm-a", work, service="stock", session=session)
+    await fleet.wait_for_links()
+    return stopping, worker
+
+
 class TestLeaving:
     """Workers and daemons leave without losing requests."""
 
@@ -371,17 +391,8 @@
         several times as long and would be told unknown.
         """
 
-        async def work(req, writer):
-            await asyncio.sleep(3.0 if b"long" in req.body else 0.01)
-            writer.write(answer(req))
-
-        stopping = await fleet.daemon("vm-a", service="stock", kill_after_s=2.4)
-        await fleet.daemon("vm-b")
         routes = ROUTES | {"long": route("stock", prefix="/long/")}
-        await fleet.configure(routes=routes)
-        worker = await fleet.worker("vm-b", work, session=session)
-        await fleet.worker("vm-a", work, service="stock", session=session)
-        await fleet.wait_for_links()
+        stopping, worker = await start_beside_work(fleet, session, routes)
 
         async def place(request_id, body=b"", **kwargs):
             return await ask(
@@ -420,17 +431,8 @@
         a call of the VM's endpoint, which expires with its run, goes by recent times.
         """
 
-        async def work(req, writer):
-            await asyncio.sleep(3.0 if b"long" in req.body else 0.01)
-            writer.write(answer(req))
-
-        stopping = await fleet.daemon("vm-a", service="stock", kill_after_s=2.4)
-        await fleet.daemon("vm-b")
         routes = ROUTES | {"long": route("stock", prefix="/long/")}
-        await fleet.configure(routes=routes)
-        worker = await fleet.worker("vm-b", work, session=session)
-        await fleet.worker("vm-a", work, service="stock", session=session)
-        await fleet.wait_for_links()
+        stopping, worker = await start_beside_work(fleet, session, routes)
         for n in range(MIN_SAMPLES_OF_LONGEST):
             assert (await ask(session, fleet, "vm-a", request_id=f"known-{n}"))[
                 0
@@ -464,26 +466,17 @@
         for one until the daemon of its VM had stopped.
         """
 
-        async def work(req, writer):
-            await asyncio.sleep(3.0 if b"long" in req.body else 0.01)
-            writer.write(answer(req))
-
         def start_long(path, request_id):
             options = {"data": b"long", "method": "POST", "deadline_ms": 4000}
             return asyncio.create_task(
                 ask(session, fleet, "vm-b", path, request_id, **options)
             )
 
-        stopping = await fleet.daemon("vm-a", service="stock", kill_after_s=2.4)
-        await fleet.daemon("vm-b")
         routes = {
             "read": route(timeout_ms=4000),
             "long": route("stock", prefix="/long/", timeout_ms=4000),
         }
-        await fleet.configure(routes=routes)
-        worker = await fleet.worker("vm-b", work, session=session)
-        await fleet.worker("vm-a", work, service="stock", session=session)
-        await fleet.wait_for_links()
+        stopping, worker = await start_beside_work(fleet, session, routes)
         for n in range(MIN_SAMPLES_OF_LONGEST):
             await ask(session, fleet, "vm-a", request_id=f"known-{n}")
         taken = len(worker.received)
